Keep free connections to servers for half their idle time, less after one was found dead

Design: a connection that is free is used again within half of connIdleMs. One that breaks under an attempt with no word, having rested for t, bounds the rest of all others to t/2; the bound fades, doubling in a minute. A class that may not be repeated still takes only what was free for 50 ms.

Lines at fault: REUSE_S = 0.05 in net/servers.py, which few limiters with much traffic to each server hardly felt; 40 limiters and 60 servers meet each other once in seconds.

--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -61,6 +61,7 @@
 class _Taken:
     call: Call
     name: bytes
+    once: bool  # no repeat can make good an attempt that broke
     deadline_ms: float
     overdue: asyncio.TimerHandle
     attempts: list[Attempt | None] = field(default_factory=list)
@@ -132,12 +133,13 @@
             call.answer(409)
             return self._count
         ident, now = self._count, self._now()
-        wait_s = min(terms.wait_s, self._settings.classes[terms.cls].deadline_ms / 1000)
+        cls = self._settings.classes[terms.cls]
+        wait_s = min(terms.wait_s, cls.deadline_ms / 1000)
         deadline = now + max(wait_s - EARLY_S, wait_s / 2) * 1000
         timer = asyncio.get_running_loop().call_at(
             self._loop_time(now) + wait_s, partial(self._overdue, ident)
         )
-        self._requests[ident] = _Taken(call, terms.name, deadline, timer)
+        self._requests[ident] = _Taken(call, terms.name, cls.effect is api.Effect.UNSAFE, deadline, timer)
         self._names.add(terms.name)
         self.open += 1
         self._post(
@@ -248,6 +250,7 @@
             taken.call.forward + left.encode() + taken.call.body,
             self._loop_time(until),
             partial(self._ended, ident, taken, number, action.server, now),
+            taken.once,
         )
         taken.out += 1
         taken.attempts.append(attempt)
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -21,7 +21,10 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
-REUSE_S = 0.05  # a connection that was free for longer may be ending unseen; a new one costs little
+IDLE_PART = 0.5  # of the time after which servers close: this clock and theirs need not agree
+REUSE_S = 0.05  # one free for less is used in any case: no server ends it so soon
+REUSE_BACK = 0.5  # of the time after which a free connection turned out to be dead: how long others stay
+REUSE_RISE = 1.003  # a sweep; what was learnt from one that was dead fades, doubling in about a minute
 USAGE = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
 SHORT_S = 0.25  # for the rest of an answer that has begun to come; one that stops short is spoilt
 TIMER_S = 0.001  # the loop counts whole milliseconds; an attempt must not end before its time
@@ -105,6 +108,8 @@
         self._rest: asyncio.TimerHandle | None = None  # runs meanwhile
         self.written = False
         self.idle_since = 0.0
+        self.rested = 0.0  # how long it was free before the attempt that it carries
+        self._silent = True  # nothing has come since then
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's own is no subclass of it
@@ -115,6 +120,7 @@
         self._attempt, attempt.connection = attempt, self
         self._headers, self._body, self._size = {}, [], 0
         self._headed = self._complete = self._keep = False
+        self._silent = True
         self._transport.write(attempt.message)
         # A write that fails closes the transport at once; one that is cut short leaves a rest in it.
         self.written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -139,6 +145,7 @@
         if self._attempt is None:
             self.drop()
             return
+        self._silent = False
         self._size += 0 if self._headed else len(data)
         try:
             self._parser.feed_data(data)
@@ -213,6 +220,8 @@
             self._transport.abort()
 
     def _break(self) -> None:
+        if self._attempt and self._silent:
+            self._servers.died(self.rested)
         self._fail(Status.RESET)
 
     def _spoil(self, what: str) -> None:
@@ -264,7 +273,7 @@
     def __init__(self, most: int, connect_s: float, idle_s: float) -> None:
         self._most = most
         self._connect_s = connect_s
-        self._idle_s = min(idle_s / 2, REUSE_S)
+        self._longest_s = self._idle_s = max(REUSE_S, idle_s * IDLE_PART)
         self._servers: dict[int, Server] = {}
         self._connecting: set[asyncio.Task[None]] = set()
         self._open = 0
@@ -287,13 +296,23 @@
     def any_ready(self) -> bool:
         return any(server.ready for server in self._servers.values())
 
-    def send(self, number: int, message: bytes, until: float, on_end: Callable[[Reply], None]) -> Attempt:
-        """Begin an attempt over the latest used free connection, or over a new one."""
+    def send(
+        self, number: int, message: bytes, until: float, on_end: Callable[[Reply], None], once: bool = False
+    ) -> Attempt:
+        """Begin an attempt over the latest used free connection, or over a new one.
+
+        What can go out only `once` takes none that may be ending unseen: a reset would be its end.
+        """
         attempt = Attempt(message, until, on_end)
         server = self._servers[number]
+        most = min(self._idle_s, REUSE_S) if once else self._idle_s
         while server.idle:
-            connection = server.idle.pop()
-            if connection.idle_since >= monotonic() - self._idle_s and connection.fresh():
+            connection = server.idle[-1]
+            connection.rested = monotonic() - connection.idle_since
+            if most < connection.rested <= self._idle_s:
+                break  # of use to others; those below it were free for longer still
+            server.idle.pop()
+            if connection.rested <= most and connection.fresh():
                 connection.start(attempt)
                 return attempt
             connection.drop()
@@ -346,6 +365,11 @@
         if connection in server.idle:
             server.idle.remove(connection)
 
+    def died(self, rested: float) -> None:
+        """A connection broke under an attempt with no word: free ones may end so early, unseen."""
+        if rested > 0:
+            self._idle_s = min(self._idle_s, max(REUSE_S, rested * REUSE_BACK))
+
     def close_idle(self, number: int) -> None:
         if server := self._servers.get(number):
             self._drop_idle(server)
@@ -365,6 +389,7 @@
 
     def sweep(self) -> None:
         """Drop what has stood idle, before the server does while a request is on its way."""
+        self._idle_s = min(self._longest_s, self._idle_s * REUSE_RISE)
         limit = monotonic() - self._idle_s
         for server in self._servers.values():
             while server.idle and server.idle[0].idle_since < limit:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -504,19 +504,65 @@
     run(test())
 
 
-def test_a_connection_free_for_long_is_not_used_again() -> None:
-    """Servers close such ones, and a request that crosses the close can't go out again."""
+async def free_before(server: Backend, rested: float, cls: str) -> list[int]:
+    """The connections of two requests of a class, the second sent when the first's had rested so long."""
+    async with limiter(host("a", server.address)) as rig:
+        client = await rig.connect()
+        assert (await client.ask(message(cls, "one"))).body == b"own"
+        [kept] = next(iter(rig.limiter._servers._servers.values())).idle
+        kept.idle_since -= rested
+        assert (await client.ask(message(cls, "two"))).body == b"own"
+        return [request.connection for request in server.requests]
+
 
+@pytest.mark.parametrize(
+    ("cls", "rested", "connections"),
+    [
+        ("fix", servers_module.REUSE_S, [1, 2]),  # a reset could not be made good
+        ("read", servers_module.REUSE_S, [1, 1]),
+        ("read", 14.0, [1, 1]),
+        ("read", 15.0, [1, 2]),  # half of what the settings say
+    ],
+)
+def test_how_long_a_free_connection_stays_of_use(cls: str, rested: float, connections: list[int]) -> None:
     async def test() -> None:
         async def script(request: Request) -> None:
             request.reply(body=b"own")
 
+        async with backend(script) as server:
+            assert await free_before(server, rested, cls) == connections
+
+    run(test())
+
+
+def test_a_free_connection_found_dead_shortens_the_stay_of_others_for_a_while() -> None:
+    servers = Servers(10, 1.0, 30.0)
+    servers.died(0.0)  # broke under its first attempt: says nothing of free ones
+    assert servers._idle_s == 15.0
+    servers.died(8.0)
+    assert servers._idle_s == 4.0
+    servers.died(0.01)
+    assert servers._idle_s == servers_module.REUSE_S
+    for _ in range(4 * 60 * 10):  # ten minutes of sweeps
+        servers.sweep()
+    assert servers._idle_s == 15.0
+
+
+def test_a_break_without_a_word_under_a_kept_connection_is_learnt() -> None:
+    async def test() -> None:
+        async def script(request: Request) -> None:
+            if request.headers["req-id"] == "two":
+                request.reset()
+            else:
+                request.reply(body=b"own")
+
         async with backend(script) as server, limiter(host("a", server.address)) as rig:
             client = await rig.connect()
-            assert (await client.ask(message("fix", "one"))).body == b"own"
-            await asyncio.sleep(servers_module.REUSE_S * 2)
-            assert (await client.ask(message("fix", "two"))).body == b"own"
-            assert [request.connection for request in server.requests] == [1, 2]
-            await server.requests[0].closed()
+            assert (await client.ask(message("read", "one"))).body == b"own"
+            sockets = rig.limiter._servers
+            [kept] = next(iter(sockets._servers.values())).idle
+            kept.idle_since -= 2.0
+            await client.ask(message("read", "two"))
+            assert 1.0 <= sockets._idle_s < 2.0
 
     run(test())
