Give cold servers their warm part of a warm server's flow, not of the whole fleet's mean

Design: a cold server earns 1.2 times its surest warm part of what a warm one is sent (first sends that quota and lane cap let through, over the fleet's strength in warm servers), at most 0.6 of the cold rule's multiple times that part of the mean flow to a server.

Line at fault: Fleet._fill took let_in / all servers for what a warm one gets, though half were cold, and 0.8 of it. Ruled out: counting let-ins that the lane cap refused, which gave cold servers 45 and warm ones 27; counting sends only, which never starts a wholly cold fleet (an older test showed it).

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -74,7 +74,11 @@
 RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
 ERRORS = 2  # with no good answer between; a server that fails at once looks free and draws all traffic
 FULL_MS = 200.0  # ms; a server that turned a request away is left alone this long
-COLD_PART = 0.8  # of the allowance of a cold server that we use: room for chance
+COLD_PART = 1.2  # of its warm part of a warm server's flow: that part is the least a cold one can have
+COLD_MOST = (
+    0.6  # of the cold rule's multiple; the same at most, times its warm part of the mean flow to a server
+)
+STRENGTH_MS = 250.0  # ms; how often the fleet's warm parts are added up
 BUSY_WEIGHT = 2.0  # requests that a wholly busy report counts for; 0 and 6 were no better
 LOOKS = 12  # random servers looked at for a send
 USUAL_PART = 0.1  # of a report that goes into the usual load, which stands for a missing or old one
@@ -432,7 +436,8 @@
         self.missed: dict[int, tuple[int, float]] = {}  # of a zone: failures since its last answer, when
         self.mean_ms = REFERENCE_MS
         self.usual = 0.0
-        self.let_in: deque[float] = deque()
+        self.strength, self.summed_ms = 1.0, -INF
+        self.due: deque[float] = deque()  # of first sends that quota and lane cap let through, sent or not
 
     def update(self, now: float, event: api.ServerList) -> None:
         """Apply a list event; a complete list drops what it does not name."""
@@ -459,6 +464,7 @@
         }
         self.ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
         self.suspects = {peer.entry.id: peer for peer in self.ready if peer.suspect}
+        self.summed_ms = -INF
 
     def warmth(self, peer: Peer, now: float) -> float:
         """The part of its capacity a server surely has: from cold_from, evenly over cold_ms."""
@@ -468,17 +474,30 @@
         return min(1.0, self.settings.cold_from + (1.0 - self.settings.cold_from) * age)
 
     def _fill(self, peer: Peer, now: float) -> float:
-        """Slow start, for the cold rule: a cold server earns its warm part of a server's usual flow."""
+        """Slow start: a cold server earns its warm part of a warm server's flow, for the cold rule bounded.
+
+        The mean flow to a server is less than a warm one bears, so a bound in its terms holds also where
+        hardly a server is warm and the flow to those would say nothing.
+        """
         self.trim(now)
-        flow = len(self.let_in) / WINDOW_MS / max(1, len(self.ready))
-        gained = (now - max(peer.filled_ms, peer.told_ms)) * flow * COLD_PART * self.warmth(peer, now)
+        servers = max(1, len(self.ready))
+        most = max(1.0, COLD_MOST * self.settings.tip_multiple)
+        flow = len(self.due) / WINDOW_MS / servers * min(COLD_PART * servers / self._strength(now), most)
+        gained = (now - max(peer.filled_ms, peer.told_ms)) * flow * self.warmth(peer, now)
         peer.allowance = min(1.0, peer.allowance + gained)
         peer.filled_ms = now
         return peer.allowance
 
+    def _strength(self, now: float) -> float:
+        """How many warm servers those in use amount to; cold ones by their warm part."""
+        if now - self.summed_ms >= STRENGTH_MS:
+            self.summed_ms = now
+            self.strength = max(1.0, sum(self.warmth(peer, now) for peer in self.ready if not peer.suspect))
+        return self.strength
+
     def trim(self, now: float) -> None:
-        while self.let_in and self.let_in[0] < now - WINDOW_MS:
-            self.let_in.popleft()
+        while self.due and self.due[0] < now - WINDOW_MS:
+            self.due.popleft()
 
     def usable(self, peer: Peer, now: float) -> bool:
         """Whether the drain and cold rules let a new attempt go to this server."""
@@ -679,12 +698,13 @@
             self._answer(now, request)
         elif customer.lets_in(now, event.units, self.rng.random(), cls.worth / self.dearest):
             self.arrivals.append((now, request.lane, event.units))
-            self.fleet.let_in.append(now)
             # Below the cap by less than one: by chance, which mixes the two whole thresholds beside it.
             cap = self.caps[request.lane]
             room = cap + POOLING * math.sqrt(cap) - self.count[request.lane]
-            if self.rng.random() < room and self._send(now, request, set()):
-                return
+            if self.rng.random() < room:
+                self.fleet.due.append(now)
+                if self._send(now, request, set()):
+                    return
         self._answer(now, request)
 
     def _late(self, now: float, event: api.Arrival) -> bool:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -126,7 +126,7 @@
         rig.done(step * 50.0 + 20.0, sent, "ok")
     assert kept and 1_000_000 in rig.gateway.customers
     assert len(rig.gateway.customers) < 1000
-    assert len(rig.gateway.fleet.let_in) < 200
+    assert len(rig.gateway.fleet.due) < 200
 
 
 def test_a_flood_of_customers_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -199,7 +199,7 @@
 
 
 def test_beyond_the_quota_cheap_tries_leave_the_store_to_dear_ones() -> None:
-    """Where part of  is refused."""
+    """Its cheapest tries find the store kept, its dearest do not."""
     cheap, dear = (Customer(PLAN, 1, 0.0) for _ in range(2))
     clock = MeterClock(1000.0)
     for customer in (cheap, dear):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 from helpers import BASE, CLASSES, Rig, kinds, sends, server
 
 from ironstage import interface as api
+from ironstage import logic
 
 SAFE, KEYED_ALL, KEYED_ZONE, UNSAFE = range(4)
 
@@ -239,6 +240,33 @@
     assert 0.2 * fair < sent < fair
 
 
+def test_where_half_the_fleet_is_cold_it_gets_its_warm_part_of_what_warm_servers_get() -> None:
+    """zone+vast: cold servers stood idle for seconds while the other hall was pressed into time-outs."""
+    halves = [server(n, started=1.0 if n > 20 else 0.0) for n in range(1, 41)]
+    rigs = [Rig(halves, gateways=60) for _ in range(60)]
+    cold = warm = 0
+    for seed, rig in enumerate(rigs):
+        rig.gateway.rng.seed(seed)
+        for now in range(100, 9000, 100):
+            for sent in sends(rig.arrive(float(now))):
+                rig.done(now + 90.0, sent, "ok", elapsed=90.0)
+                cold, warm = (
+                    cold + (now > 4000 and sent.server > 20),
+                    warm + (now > 4000 and sent.server <= 20),
+                )
+    part = rig.gateway.fleet.warmth(rig.gateway.fleet.peers[40], 6500.0)
+    assert 0.9 * part < cold / warm < 1.4 * part
+
+
+def test_where_hardly_a_server_is_warm_the_cold_rule_bounds_what_cold_ones_earn() -> None:
+    rig = Rig([server(n, started=100.0 if n > 1 else 0.0) for n in range(1, 41)])
+    sent = [s.server for n in range(400) for s in sends(rig.arrive(100.0 + 10.0 * n))]
+    flow, bound = len(sent) / 40, logic.COLD_MOST * BASE.tip_multiple
+    warmth = rig.gateway.fleet.warmth(rig.gateway.fleet.peers[40], 4100.0)
+    first = 39 * 0.5  # each one's first is due at random
+    assert sum(number > 1 for number in sent) - first < 39 * flow * bound * warmth
+
+
 def test_a_fleet_that_is_wholly_cold_is_used_a_little() -> None:
     rig = Rig([server(n, started=100.0) for n in range(1, 11)])
     answers = [sends(rig.arrive(100.0 + 50.0 * n)) for n in range(100)]
