Space a suspect's trials by the number of limiters, and let a full one stay suspect

Design: the wait before a suspect's next trial grows by 2 times the root of gateways / 4 (before: 2), up to 8 times gateways / 4 of the first, with up to 0.3 of it as jitter from the seed. A server that turns away while suspect stays so, and is avoided for longer where many limiters send. An answer from a suspect brings other suspects of its zone a trial within 2 s, so that a healed zone is not left out.

Lines at fault: Fleet.doubt and the FULL branch of Fleet.heard.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -71,9 +71,13 @@
 SPARE = 0.5  # of the burst; beyond it a try that comes too late takes nothing that others need
 FEW = 0.6  # of the ready servers; more suspects than this mean a slow back end, not lost servers
 REFERENCE_MS = 200.0  # ms; mean latency before anything was measured
-RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial, doubled up to 8 times
+RETEST_MS = 1000.0  # ms; first wait before a suspect gets a trial; it grows with each that fails
+RETEST_GROWTH = 2.0  # times, for few gateways; for more by the root of their number
+RETEST_MOST = 8.0  # times the first wait, for few gateways; for more in proportion
+FEW_GATEWAYS = 4  # whose trials together a suspect bears
+JITTER = 0.3  # of a wait on top of it at most: many limiters learn of a lost server at once
 ERRORS = 2  # with no good answer between; a server that fails at once looks free and draws all traffic
-FULL_MS = 200.0  # ms; a server that turned a request away is left alone this long
+FULL_MS = 200.0  # ms; a server that turned a request away is left alone this long, by many for longer
 COLD_PART = 1.2  # of its warm part of a warm server's flow: that part is the least a cold one can have
 COLD_MOST = (
     0.6  # of the cold rule's multiple; the same at most, times its warm part of the mean flow to a server
@@ -437,6 +441,7 @@
         self.mean_ms = REFERENCE_MS
         self.usual = 0.0
         self.strength, self.summed_ms = 1.0, -INF
+        self.patience = max(1.0, settings.gateways / FEW_GATEWAYS)
         self.due: deque[float] = deque()  # of first sends that quota and lane cap let through, sent or not
 
     def update(self, now: float, event: api.ServerList) -> None:
@@ -550,12 +555,14 @@
                 peer.errors = 0 if event.status is Status.OK else peer.errors + 1
             if peer.errors >= ERRORS:
                 self.doubt(peer, now)
-            elif event.status is not Status.RESET:
-                self.clear(peer)
+            elif event.status in (Status.OK, Status.ERROR):
+                self.clear(peer, now)
         # Silence while it had work is the sign of a vanished server, a refused connection of a lost one.
         silent = event.status is Status.TIMEOUT and peer.heard_ms < now - event.elapsed_ms
         if event.status is Status.FULL:
-            peer.avoid_ms = now + FULL_MS
+            peer.avoid_ms = now + FULL_MS * self.patience * self._jitter()
+            if peer.suspect:  # it lives, but what it holds already is too much
+                self.doubt(peer, now)
         elif silent or event.status is Status.CONNECT_FAILED:
             self.doubt(peer, now)
             self.missed[peer.entry.zone] = self.missed.get(peer.entry.zone, (0, now))[0] + 1, now
@@ -572,14 +579,29 @@
         peer.load_ms = now
         self.usual += USUAL_PART * (peer.load - self.usual)
 
-    def clear(self, peer: Peer) -> None:
+    def _jitter(self) -> float:
+        return 1.0 + JITTER * self.rng.random()
+
+    def clear(self, peer: Peer, now: float) -> None:
+        """It answers; so its zone may be back, and the zone's other suspects get their trials soon."""
+        if peer.suspect:
+            for other in self.suspects.values():
+                if other.entry.zone == peer.entry.zone:
+                    other.retest_ms = min(other.retest_ms, now + RETEST_MS * self.rng.random() * 2.0)
         peer.suspect, peer.backoff = False, 0
         self.suspects.pop(peer.entry.id, None)
 
     def doubt(self, peer: Peer, now: float) -> None:
+        """Leave a server alone but for trials: all limiters' together, as often as a few limiters' before.
+
+        A slow server gets a trial of each limiter as its next request; sent as often by all, these alone keep
+        it jammed, and every one is lost.
+        """
         peer.suspect = True
         self.suspects[peer.entry.id] = peer
-        peer.retest_ms = now + RETEST_MS * 2 ** min(3, peer.backoff)
+        growth = RETEST_GROWTH * math.sqrt(self.patience)
+        wait = RETEST_MS * min(RETEST_MOST * self.patience, growth**peer.backoff)
+        peer.retest_ms = now + wait * self._jitter()
         peer.backoff += 1
 
     def all_slow(self) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -340,3 +340,43 @@
     [trial] = sends(rig.arrive(2000.0, UNSAFE))
     rig.done(2001.0, trial, "ok", elapsed=1.0)
     assert not fleet.suspects
+
+
+def trials(gateways: int, seconds: int = 30) -> list[float]:
+    """When a server that never answers gets a request, the first one included."""
+    rig = Rig([server(n) for n in range(1, 5)], gateways=gateways)
+    at = []
+    for now in range(100, seconds * 1000, 100):
+        for sent in sends(rig.arrive(float(now))):
+            dead = sent.server == 1
+            at += [float(now)] * dead
+            rig.done(now + 90.0, sent, "timeout" if dead else "ok", elapsed=90.0, closed=True)
+    return at
+
+
+def test_many_limiters_together_try_a_suspect_hardly_more_often_than_few() -> None:
+    """join+vast: trials alone, one of each limiter every few seconds, kept slow servers jammed."""
+    few, many = trials(2), trials(40)
+    assert len(few) >= 5 and 2 <= len(many) <= 3
+    assert many[1] - many[0] < 2500.0  # one late answer costs a server hardly more than before
+
+
+def test_a_suspect_that_is_full_stays_suspect() -> None:
+    rig = Rig([server(1), server(2)])
+    fleet = rig.gateway.fleet
+    fleet.doubt(fleet.peers[1], 0.0)
+    before = fleet.peers[1].retest_ms
+    sent = next(s for now in range(1500, 1700, 10) for s in sends(rig.arrive(float(now))) if s.server == 1)
+    rig.done(1800.0, sent, "full")
+    assert fleet.peers[1].suspect and fleet.peers[1].retest_ms > before
+
+
+def test_an_answer_from_a_zone_brings_its_other_suspects_their_trials() -> None:
+    rig = Rig([server(n, zone=n % 2) for n in range(1, 9)], gateways=40)
+    fleet = rig.gateway.fleet
+    for _ in range(4):
+        for peer in fleet.ready:
+            fleet.doubt(peer, 0.0)
+    fleet.clear(fleet.peers[1], 5000.0)
+    soon = {n for n, peer in fleet.peers.items() if peer.retest_ms <= 5000.0 + 2 * logic.RETEST_MS}
+    assert soon >= {3, 5, 7} and not soon & {2, 4, 6, 8}
