Ask discovery again after random waits that grow with the number of limiters

Design: a watch begins after a random part of its first wait and is taken up again after random waits; they are 0.05 s to 1 s for two limiters, in proportion for more, 5 s at most: what discovery has to tell counts as told after 6 s anyway.

Also at the start 21 of 40 lost their watch at 2.4 s and asked on in step until the release. Line at fault: the loop of Watch.run, no jitter, longest wait 1 s. Ruled out: broken lines or silence (no such warning in any log).

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 
@@ -47,7 +48,7 @@
     limiter = Limiter(config)
     most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
     clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes)
-    watch = Watch(config.discovery, limiter.listed)
+    watch = Watch(config.discovery, limiter.listed, random.Random(config.seed), config.settings.gateways)
     watch.seq = limiter.known_seq
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -19,7 +20,9 @@
 
 SILENCE_S = 4.5  # the agent writes every 2 s; what it has to tell counts as told after 6 s anyway
 CONNECT_S = 1.0
-BACKOFF_S = (0.05, 1.0)  # first and longest wait before the watch is taken up again
+BACKOFF_S = (0.05, 1.0)  # first and longest wait before the watch is taken up again, by one of few limiters
+FEW_LIMITERS = 2  # of more the waits are longer in proportion: discovery bears so many calls and no more
+LONGEST_S = 5.0  # of all waits; what discovery has to tell counts as told after 6 s anyway
 LONGEST_LINE = 4 << 20  # bytes; a line that never ends must not fill the memory
 
 STATES = {
@@ -143,9 +146,14 @@
 class Watch:
     """Keeps one watch open and hands on each list that says something new."""
 
-    def __init__(self, address: Address, on_list: Callable[[HostList], None]) -> None:
+    def __init__(
+        self, address: Address, on_list: Callable[[HostList], None], rng: random.Random, limiters: int = 1
+    ) -> None:
         self._address = address
         self._on_list = on_list
+        self._rng = rng
+        crowd = max(1.0, limiters / FEW_LIMITERS)
+        self._first_s, self._longest_s = (min(LONGEST_S, wait * crowd) for wait in BACKOFF_S)
         self._fresh = True
         self._turn: asyncio.Timeout | None = None
         self.seq = 0
@@ -158,16 +166,21 @@
                 self._turn.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
-        """Watch for ever; each break is followed by a new watch from the last version read."""
-        first, longest = BACKOFF_S
+        """Watch for ever; each break is followed by a new watch from the last version read.
+
+        Waits are drawn at random: limiters that start or lose discovery together would else come again
+        together, each call in the others' way until all have waited in vain.
+        """
+        first, longest = self._first_s, self._longest_s
         wait = first
+        await asyncio.sleep(first * self._rng.random())
         while True:
             before = self.seq
             try:
                 async with asyncio.timeout(None) as self._turn:
                     await self._try()
                     wait = first if self.seq != before else min(longest, wait * 2)
-                    await asyncio.sleep(wait)
+                    await asyncio.sleep(wait * (1.0 + self._rng.random()) / 2)
             except TimeoutError:  # moved: the new agent counts its versions from where it likes
                 self.seq, wait = 0, first
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -223,7 +224,7 @@
     def __init__(self, made: Config) -> None:
         self.limiter = Limiter(made)
         self.clients = Clients(self.limiter, made.settings, made.listen, 100, made.body_bytes)
-        self.watch = Watch(made.discovery, self.limiter.listed)
+        self.watch = Watch(made.discovery, self.limiter.listed, random.Random(1))
         self.watch.seq = self.limiter.known_seq
 
     async def connect(self) -> Client:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 import time
 
 import pytest
@@ -114,7 +116,7 @@
 
     def __init__(self) -> None:
         self.lists: list[HostList] = []
-        self.watch = Watch(("127.0.0.1", 1), self.lists.append)
+        self.watch = Watch(("127.0.0.1", 1), self.lists.append, random.Random(1))
 
     def line(self, line: object) -> bool:
         raw = line if isinstance(line, bytes) else json.dumps(line).encode()
@@ -286,3 +288,40 @@
                 assert len(fleet.peers) == 1
 
     run(test())
+
+
+def waits(limiters: int, seed: int, monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """How long a watch waits before its first try, and after each of seven that fail."""
+    slept: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        slept.append(seconds)
+        if len(slept) == 8:
+            raise asyncio.CancelledError
+
+    async def refused() -> None:
+        pass
+
+    async def test() -> None:
+        watch = Watch(("127.0.0.1", 1), lambda told: None, random.Random(seed), limiters)
+        monkeypatch.setattr(watch, "_follow", refused)
+        monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
+        with contextlib.suppress(asyncio.CancelledError):
+            await watch.run()
+        monkeypatch.undo()
+
+    run(test())
+    return slept
+
+
+def test_many_limiters_ask_discovery_again_after_longer_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """herd+vast: 28 restarted limiters asked again together each second, and none was ever answered."""
+    few, many = waits(2, 1, monkeypatch), waits(40, 1, monkeypatch)
+    assert few[0] <= 0.05 and max(few) <= 1.0
+    assert 1.0 <= many[1] <= 2.0
+    assert all(2.5 <= wait <= discovery.LONGEST_S for wait in many[4:])
+
+
+def test_limiters_that_start_together_do_not_ask_discovery_together(monkeypatch: pytest.MonkeyPatch) -> None:
+    firsts = [waits(40, seed, monkeypatch)[0] for seed in range(40)]
+    assert max(sum(at <= first < at + 0.1 for first in firsts) for at in firsts) < 12
