--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -56,7 +56,8 @@
 SHARE_KEEP = 0.85  # of that evidence kept a metered period: weights shift within tens of seconds
 SURE_ROOM = 0.25  # of the burst; with more than this left in the store the share is not asked
 KEPT = 0.1  # of the burst, times what a request's worth falls short of the dearest's: kept for such
-KEPT_OVER = 2.5  # of the same, times the root of what the let-in share falls short of 1
+KEPT_OVER = 0.8  # of the same, times the root of what the let-in share falls short of 1
+KEPT_DOOR = 0.06  # more of that for each door: among many the share is a rough guess, and dear tries gain
 DEBT = 1.0  # of the burst; how far below empty the store estimate may run
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
@@ -382,7 +383,7 @@
         estimate a margin. It hurts a customer that asks for cheap things alone: that much of its burst, and
         where it is beyond its quota a little of its rate, go unused.
         """
-        over = KEPT_OVER * math.sqrt(1.0 - share)
+        over = (KEPT_OVER + KEPT_DOOR * self.doors) * math.sqrt(1.0 - share)
         return (KEPT + over) * (1.0 - worth) * self.plan.burst
 
     def lets_in(self, now: float, units: float, dice: float, worth: float = 1.0) -> bool:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -209,3 +209,10 @@
         assert customer.share(5000.0) < 0.6
     assert not cheap.lets_in(5000.0, 1.0, 0.0, 1 / 3)
     assert dear.lets_in(5000.0, 1.0, 0.0, 1.0)
+
+
+def test_with_few_doors_less_of_the_store_is_kept_from_cheap_tries() -> None:
+    """rude+garble+fleet: customers of two doors had cheap tries refused with most of their quota unused."""
+    few, many = (Customer(PLAN, doors, 0.0) for doors in (2, 40))
+    assert few._kept(0.75, 0.5) < 0.35 * PLAN.burst
+    assert many._kept(0.75, 0.5) > 0.7 * PLAN.burst
