Ask the agent at once for pushed changes; wait in turn only where lists are asked for

Design: callers() tells how many limiters' calls meet at discovery: all of them where registryMode is "subscribe", and one where it is "automatic", as there the agent on the machine answers at once at no cost.

At fault: the wait before the first call in Watch.run, with waits from gateways / FEW_LIMITERS whatever the mode (__main__.serve, Watch.__init__). Ruled out: watches that broke or were silent (none ended in the probe's logs but by the kill), and late lists (each told within 1 s by those that followed).

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -14,7 +14,7 @@
 
 from ironstage.net import config as configuration
 from ironstage.net.clients import Clients
-from ironstage.net.discovery import Watch
+from ironstage.net.discovery import Watch, callers
 from ironstage.net.limiter import MARGIN, SERVER_PART, Limiter
 
 log = logging.getLogger("ironstage")
@@ -48,7 +48,7 @@
     limiter = Limiter(config)
     most = int((config.sockets - MARGIN) * (1 - SERVER_PART))
     clients = Clients(limiter, config.settings, config.listen, most, config.body_bytes)
-    watch = Watch(config.discovery, limiter.listed, random.Random(config.seed), config.settings.gateways)
+    watch = Watch(config.discovery, limiter.listed, random.Random(config.seed), callers(config.settings))
     watch.seq = limiter.known_seq
     loop.add_signal_handler(signal.SIGHUP, _reload, watch)
     tasks = [loop.create_task(watch.run()), loop.create_task(_sweep(limiter, clients))]
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -21,7 +21,7 @@
 SILENCE_S = 4.5  # the agent writes every 2 s; what it has to tell counts as told after 6 s anyway
 CONNECT_S = 1.0
 BACKOFF_S = (0.05, 1.0)  # first and longest wait before the watch is taken up again, by one of few limiters
-FEW_LIMITERS = 2  # of more the waits are longer in proportion: discovery bears so many calls and no more
+FEW_CALLERS = 2  # of more the waits are longer in proportion: discovery bears so many calls and no more
 LONGEST_S = 5.0  # of all waits; what discovery has to tell counts as told after 6 s anyway
 LONGEST_LINE = 4 << 20  # bytes; a line that never ends must not fill the memory
 
@@ -143,16 +143,25 @@
             self._transport.close()
 
 
+def callers(settings: api.Settings) -> int:
+    """How many limiters' calls meet at discovery.
+
+    Where changes come by themselves the agent on this machine has them already, answers at once, and what it
+    holds counts as told, asked for or not: a limiter that starts has no time to lose.
+    """
+    return settings.gateways if settings.must_subscribe else 1
+
+
 class Watch:
     """Keeps one watch open and hands on each list that says something new."""
 
     def __init__(
-        self, address: Address, on_list: Callable[[HostList], None], rng: random.Random, limiters: int = 1
+        self, address: Address, on_list: Callable[[HostList], None], rng: random.Random, callers: int = 1
     ) -> None:
         self._address = address
         self._on_list = on_list
         self._rng = rng
-        crowd = max(1.0, limiters / FEW_LIMITERS)
+        crowd = max(1.0, callers / FEW_CALLERS)
         self._first_s, self._longest_s = (min(LONGEST_S, wait * crowd) for wait in BACKOFF_S)
         self._fresh = True
         self._turn: asyncio.Timeout | None = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,12 +7,14 @@
 import json
 import random
 import time
+from dataclasses import replace
 
 import pytest
+from helpers import BASE
 from sockets import Backend, Request, agent, backend, host, limiter, listing, message, run, until
 
 from ironstage.net import discovery
-from ironstage.net.discovery import HostList, Watch, parse_list
+from ironstage.net.discovery import HostList, Watch, callers, parse_list
 
 
 async def echo(request: Request) -> None:
@@ -290,7 +292,7 @@
     run(test())
 
 
-def waits(limiters: int, seed: int, monkeypatch: pytest.MonkeyPatch) -> list[float]:
+def waits(callers: int, seed: int, monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """How long a watch waits before its first try, and after each of seven that fail."""
     slept: list[float] = []
 
@@ -303,7 +305,7 @@
         pass
 
     async def test() -> None:
-        watch = Watch(("127.0.0.1", 1), lambda told: None, random.Random(seed), limiters)
+        watch = Watch(("127.0.0.1", 1), lambda told: None, random.Random(seed), callers)
         monkeypatch.setattr(watch, "_follow", refused)
         monkeypatch.setattr(discovery.asyncio, "sleep", sleep)
         with contextlib.suppress(asyncio.CancelledError):
@@ -325,3 +327,11 @@
 def test_limiters_that_start_together_do_not_ask_discovery_together(monkeypatch: pytest.MonkeyPatch) -> None:
     firsts = [waits(40, seed, monkeypatch)[0] for seed in range(40)]
     assert max(sum(at <= first < at + 0.1 for first in firsts) for at in firsts) < 12
+
+
+def test_pushed_changes_are_asked_for_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """herd+mass: a restarted limiter waited up to 5 s for drains that its agent had been told of long ago."""
+    pushed = waits(callers(replace(BASE, gateways=200)), 1, monkeypatch)
+    asked = waits(callers(replace(BASE, gateways=200, must_subscribe=True)), 1, monkeypatch)
+    assert pushed[0] * 1000 < BASE.drain_grace_ms / 4 and max(pushed) <= 1.0
+    assert max(asked[1:]) > 2.5
