Bound the doubts counted of a suspect: the growth of its wait left the range of floats

Design: a doubt counts only until the wait for the next trial has reached its most.

The request under way was answered 500, its lane's slot and its customer's attempt were never given back. At fault: Fleet.doubt, which raised before it bounded. The test raises OverflowError without the change.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -600,10 +600,11 @@
         """
         peer.suspect = True
         self.suspects[peer.entry.id] = peer
-        growth = RETEST_GROWTH * math.sqrt(self.patience)
-        wait = RETEST_MS * min(RETEST_MOST * self.patience, growth**peer.backoff)
-        peer.retest_ms = now + wait * self._jitter()
-        peer.backoff += 1
+        growth, most = RETEST_GROWTH * math.sqrt(self.patience), RETEST_MOST * self.patience
+        times = min(most, growth**peer.backoff)
+        peer.retest_ms = now + RETEST_MS * times * self._jitter()
+        if times < most:  # beyond, the power would leave the range of floats
+            peer.backoff += 1
 
     def all_slow(self) -> bool:
         """Whether most are suspect: a jam, whose time-outs are latencies. It hurts if most truly vanished."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -380,3 +380,12 @@
     fleet.clear(fleet.peers[1], 5000.0)
     soon = {n for n, peer in fleet.peers.items() if peer.retest_ms <= 5000.0 + 2 * logic.RETEST_MS}
     assert soon >= {3, 5, 7} and not soon & {2, 4, 6, 8}
+
+
+def test_a_server_doubted_without_end_gets_its_trials_all_the_same() -> None:
+    """join+mass: 14**271 is no float; the request under way got a failure and its slot was never given back."""
+    fleet = Rig([server(1)], gateways=200).gateway.fleet
+    for _ in range(2000):
+        fleet.doubt(fleet.peers[1], 1000.0)
+    most = logic.RETEST_MS * logic.RETEST_MOST * fleet.patience
+    assert most <= fleet.peers[1].retest_ms - 1000.0 <= most * (1 + logic.JITTER)
