--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -740,10 +740,10 @@
         self._answer(now, request)
 
     def _room(self, lane: int) -> float:
-        """How many more requests of a lane may go out: up to its threshold, and beyond it for chance's swings.
+        """How many more requests of a lane may go out: up to its threshold, and beyond it for swings alone.
 
-        Only the swings: as far as the lane's mean count has come up to the threshold, there is no swing left to
-        make good, and where thresholds are small, many gateways' roots would be more than all thresholds.
+        As far as the lane's mean count has come up to the threshold, there is no swing left to make good; and
+        where thresholds are small, many gateways' roots would be more than all thresholds.
         """
         cap, mean = self.caps[lane], self.mean_out[lane]
         if cap == INF:
