Pass a lane's whole root above its threshold while its mean count is below it

Design: for many gateways the root that chance may add is whole while the lane's mean count out is below the threshold, and the small steady part once it is at or above; it shrank all the way up to it before.

At fault: part in _room, which at a mean of three quarters of a threshold of 2 left a third of the root: a lane met swings with refusals though its mean was where the search wants it.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -749,14 +749,14 @@
         """How many more requests of a lane may go out: up to its threshold, and for chance beyond it.
 
         The swing of a sum is the root of the sum: of few gateways each may add the root of its own threshold,
-        of many that root in part. The rest passes swings alone, as far as the lane's mean count is below the
+        of many that root in part. The whole root passes swings alone, while the lane's mean count is below the
         threshold: where thresholds are small, many gateways' roots would be more than all thresholds.
         """
         cap, mean = self.caps[lane], self.mean_out[lane]
         if cap == INF:
             return INF
         steady = 1.0 / math.sqrt(self.fleet.patience)
-        part = steady + (1.0 - steady) * max(0.0, 1.0 - mean / cap)
+        part = 1.0 if mean < cap else steady
         return cap + POOLING * math.sqrt(cap) * part - self.count[lane]
 
     def _late(self, now: float, event: api.Arrival) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -449,3 +449,12 @@
     rig.done(8011.0, sent, "full", elapsed=1.0)
     rig.tick(8600.0)
     assert not gateway.lossy
+
+
+def test_a_swing_passes_whole_while_the_lanes_mean_is_below_its_threshold() -> None:
+    """calm+mass: with a root that shrank on the way there, caps refused on a day without a fault."""
+    gateway = Rig(gateways=200).gateway
+    gateway.caps, gateway.count = (4.0, 4.0), [6, 6]
+    gateway.mean_out = [3.0, 4.5]
+    assert gateway._room(0) == pytest.approx(1.0)
+    assert gateway._room(1) < 0.0
