--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -749,8 +749,8 @@
         """How many more requests of a lane may go out: up to its threshold, and for chance beyond it.
 
         The swing of a sum is the root of the sum: of few gateways each may add the root of its own threshold,
-        of many that root in part. The whole root passes swings alone, while the lane's mean count is below the
-        threshold: where thresholds are small, many gateways' roots would be more than all thresholds.
+        of many that root in part. The whole root passes swings alone, while the lane's mean count is below
+        the threshold: where thresholds are small, many gateways' roots would be more than all thresholds.
         """
         cap, mean = self.caps[lane], self.mean_out[lane]
         if cap == INF:
