Weigh attempts given up early as censored; ask more room for clients that hardly wait

Design: `latency.py` keeps the ends of attempts of the window. A given-up attempt says only that an answer would have taken longer, so its weight passes to what took longer (Kaplan and Meier); where all waits end at the aim this is the plain list, as before. The same rows give each class's chance of an answer within a wait, with a thin prior of three answered attempts so that no class shuts. A request passes its lane when there is room for an answer, the inverse of that chance in attempts: in an open lane all pass, in a pressed one those whose work would be for nobody give way. Given-up work holds its slot for a mean latency at least. Time-outs after less than nine in ten answers take are no sign of lost answers. Answers and time-outs leave the window together.

Lines at fault: `self.lost.append((now, request.lane, event.elapsed_ms))` in _outcome, and the loop over `(self.latencies, self.lost, self.arrivals)` in _rerun, which trimmed each queue by itself.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from ironstage import interface as api
+from ironstage import latency
 from ironstage.interface import Effect, Scope, ServerState, Status
 
 # --- Constants: unit, reason -------------------------------------------------------------------
@@ -61,6 +62,9 @@
 KEPT_DOOR = 0.06  # more of that for each door: among many the share is a rough guess, and dear tries gain
 DEBT = 1.0  # of the burst; how far below empty the store estimate may run
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
+MOST = (
+    0.9  # of the answers; what waited for less than they took tells of no lost one: fewer are late than LOSS
+)
 QUICK = 0.25  # of the tightest aim; three in four answers within it are quick
 GIVEN_UP = 2.0  # times its wait, what given-up work takes in all: long work has on average as much before it
 EARLY = 0.5  # of the time left; repeatable work is then given up so early, and tried once more
@@ -661,13 +665,13 @@
         self.caps: tuple[float, float] = (INF, INF)
         self.count = [0, 0]
         self.running: list[tuple[float, int]] = []  # lanes' given-up work: until when it holds its slot
-        self.latencies: deque[tuple[float, int, float]] = deque()
+        self.window = latency.Window(WINDOW_MS, OLDEST_MS, FEWEST)
+        self.chances = [latency.Chance() for _ in settings.classes]
         self.low = [INF, INF, INF]  # light-load latency of lane one, lane two and both
         self.arrivals: deque[tuple[float, int, float]] = deque()
         self.mean_out, self.out_ms = [0.0, 0.0], -INF  # of each lane
         self.begun = INF  # when the first request came
         self.rerun_ms = -INF
-        self.lost: deque[tuple[float, int, float]] = deque()  # as latencies, of time-outs
         self.declined = -INF  # when a server last turned a request away
         self.lossy = False
         self.strays = False  # some answers get lost though hardly one is late
@@ -738,13 +742,23 @@
             self._answer(now, request)
         elif customer.lets_in(now, event.units, self.rng.random(), cls.worth / self.dearest):
             self.arrivals.append((now, request.lane, event.units))
-            # Below the cap by less than one: by chance, which mixes the two whole thresholds beside it.
-            if self.rng.random() < self._room(request.lane):
+            if self._passes(now, request):
                 self.fleet.due.append(now)
                 if self._send(now, request, set()):
                     return
         self._answer(now, request)
 
+    def _passes(self, now: float, request: Request) -> bool:
+        """Whether the lane has room for an answer to this request, not only for one attempt at it.
+
+        Where an attempt is answered in time with some chance, an answer takes the inverse of it in attempts,
+        and the others are work for nobody. So a request whose client hardly waits needs that much room: where
+        the lane is pressed it gives way to those that the same work would answer. Below the cap by less than
+        one: by chance, which mixes the two whole thresholds beside it.
+        """
+        cost = 1.0 / self.chances[request.event.cls].within(request.end_ms - now)
+        return cost - 1.0 + self.rng.random() < self._room(request.lane)
+
     def _room(self, lane: int) -> float:
         """How many more requests of a lane may go out: up to its threshold, and for chance beyond it.
 
@@ -879,8 +893,9 @@
         attempt.may_have_run = event.status not in NEVER_RAN
         request.customer.out -= 1
         if event.status is Status.TIMEOUT and not was_suspect and not self.lossy:
-            # Given up, not ended: the server works on it or still will.
-            heapq.heappush(self.running, (now + (GIVEN_UP - 1.0) * event.elapsed_ms, request.lane))
+            # Given up, not ended: the server works on it or still will, after a short wait for the longer.
+            rest = max((GIVEN_UP - 1.0) * event.elapsed_ms, self.fleet.mean_ms)
+            heapq.heappush(self.running, (now + rest, request.lane))
         else:
             self.count[request.lane] -= 1
         if event.usage is not None and self.settings.meter_ms > 0:
@@ -888,10 +903,9 @@
         if self.settings.post_paid and event.status is Status.OK and event.units and not event.attempt:
             request.customer.store.level += request.event.units - event.units
         # Work lost at a suspect says nothing of the back end's load; elsewhere a time-out is a latency.
-        if event.status is Status.OK:
-            self.latencies.append((now, request.lane, event.elapsed_ms))
-        elif event.status is Status.TIMEOUT and not was_suspect:
-            self.lost.append((now, request.lane, event.elapsed_ms))
+        if event.status is Status.OK or (event.status is Status.TIMEOUT and not was_suspect):
+            answered = event.status is Status.OK
+            self.window.add(latency.Ended(now, request.event.cls, event.elapsed_ms, answered))
         elif event.status is Status.FULL:
             self.declined = now
         if event.closed:
@@ -903,41 +917,51 @@
                 self._answer(now, request)
         self._forget(request)
 
-    def _light(self, which: int, latencies: list[float]) -> float:
+    def _light(self, which: int, rows: list[tuple[float, float, bool]]) -> float:
         """The 10th-percentile latency, remembered through a jam, where it waits too and load reads low.
         It hurts, for some seconds, where requests truly become heavier."""
-        if latencies:
-            tenth = sorted(latencies)[len(latencies) // 10]
-            self.low[which] = min(tenth, self.low[which] * LOW_RISE)
+        if rows:
+            self.low[which] = min(latency.tenth(rows), self.low[which] * LOW_RISE)
         return self.low[which] if self.low[which] < INF else 0.0
 
     def _rerun(self, now: float) -> None:
         """Estimate the load from the window and set the lane caps by the search."""
-        for queue in (self.latencies, self.lost, self.arrivals):
-            while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > FEWEST else OLDEST_MS):
-                queue.popleft()
-        lanes: list[list[float]] = [[], []]
-        aim = min(c.aim_ms for c, lane in zip(self.settings.classes, self.lanes, strict=True) if lane == 0)
+        self.window.trim(now)
+        queue, lanes = self.arrivals, self.lanes
+        while queue and queue[0][0] < now - (WINDOW_MS if len(queue) > FEWEST else OLDEST_MS):
+            queue.popleft()
+        aim = min(c.aim_ms for c, lane in zip(self.settings.classes, lanes, strict=True) if lane == 0)
         # Lost answers are told from a jam by the others, which come quickly: no load, worth another try.
-        # It also covers vanished servers; it would feed a jam whose time-outs are one class's alone.
-        quick = sorted(elapsed for *_, elapsed in self.latencies)
-        heavy = len(self.lost) > LOSS * (len(self.lost) + len(quick))
+        # It also covers vanished servers; it would feed a jam whose time-outs are one class's alone. What
+        # was given up before most answers come says nothing of either.
+        given_up = self.window.given_up()
+        quick = sorted(ended.elapsed for ended in self.window.answered())
+        most = quick[int(len(quick) * MOST)] if quick else 0.0
+        lost = sum(1 for ended in given_up if ended.elapsed >= most)
+        heavy = lost > LOSS * (lost + len(quick))
         calm = self.declined < now - WINDOW_MS  # who turns requests away has a jam
         swift = len(quick) > 3 and quick[len(quick) * 3 // 4] < QUICK * aim
         before, self.lossy = self.lossy, calm and heavy and swift
         late = sum(1 for elapsed in quick if elapsed > LATE * aim)
-        enough = len(self.lost) >= max(2.0, STRAY * len(quick))
+        enough = lost >= max(2.0, STRAY * len(quick))
         self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
         if self.lossy and not before:
-            self.actions.append(api.Log(f"answers get lost: {len(self.lost)} beside {len(quick)}"))
-        for _, lane, elapsed in [*self.latencies, *(() if self.lossy else self.lost)]:
-            lanes[lane].append(elapsed)
-        every = sorted(lanes[0] + lanes[1])
+            self.actions.append(api.Log(f"answers get lost: {lost} beside {len(quick)}"))
+        told = self.window.answered() if self.lossy else self.window.ends
+        of_lane: list[list[tuple[float, bool]]] = [[], []]
+        of_class: list[list[tuple[float, bool]]] = [[] for _ in self.chances]
+        for ended in told:
+            of_lane[lanes[ended.cls]].append((ended.elapsed, ended.answered))
+            if ended.at >= now - WINDOW_MS:
+                of_class[ended.cls].append((ended.elapsed, ended.answered))
+        self.chances = [latency.Chance(ends) for ends in of_class]
+        rows = [latency.weighted(ends) for ends in of_lane]
+        every = sorted(rows[0] + rows[1])
         if every:
-            self.fleet.mean_ms = max(1.0, sum(every) / len(every))
-        if len(every) < FEWEST or not lanes[0]:
+            self.fleet.mean_ms = max(1.0, latency.mean(every))
+        if len(told) < FEWEST or not rows[0]:
             return
-        low = [self._light(which, lane) for which, lane in enumerate(lanes)]
+        low = [self._light(which, lane) for which, lane in enumerate(rows)]
         load = 1.0 - self._light(2, every) / self.fleet.mean_ms
         rates = [sum(1 for _, lane, _ in self.arrivals if lane == which) for which in (0, 1)]
         weight = [rates[which] * low[which] for which in (0, 1)]
