Take lists of a thousand servers in pieces and by changes at a cost in line with their length

Two costs grew with the square of a list's length, and a start took figures that no limiter can run with.

Now a line grows in place and is cut when it is whole; a change touches its own entries, and the ready list is made anew when a server is next looked for; numbers out of range end the start with the entry's name.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -442,7 +442,7 @@
         self.settings = settings
         self.rng = rng
         self.peers: dict[int, Peer] = {}
-        self.ready: list[Peer] = []
+        self._ready: list[Peer] | None = None
         self.suspects: dict[int, Peer] = {}
         self.missed: dict[int, tuple[int, float]] = {}  # of a zone: failures since its last answer, when
         self.mean_ms = REFERENCE_MS
@@ -452,31 +452,37 @@
         self.due: deque[float] = deque()  # of first sends that quota and lane cap let through, sent or not
 
     def update(self, now: float, event: api.ServerList) -> None:
-        """Apply a list event; a complete list drops what it does not name."""
+        """Apply a list event; a complete list drops what it does not name. A change costs its own length."""
         if event.kind is api.ListKind.FAILED:
             return
-        named = {entry.id for entry in event.servers}
+        changed = list(event.servers)
         if event.kind is not api.ListKind.DELTA:
-            for known in self.peers.values():
-                if known.entry.id not in named:
-                    known.entry = replace(known.entry, state=ServerState.GONE)
-        for entry in event.servers:
+            named = {entry.id for entry in changed}
+            entries = [peer.entry for ident, peer in self.peers.items() if ident not in named]
+            changed += [replace(entry, state=ServerState.GONE) for entry in entries]
+        for entry in changed:
             peer = self.peers.get(entry.id)
             if peer is None or entry.started_ms > peer.entry.started_ms:
                 # A new process: nothing known of the old one holds. Its first send is due at random,
                 # so that hundreds of gateways, each of which earns less than one, add up to their part.
                 waiting = peer.waiting if peer else 0
-                self.peers[entry.id] = Peer(entry, now, waiting=waiting, allowance=self.rng.random())
+                peer = Peer(entry, now, waiting=waiting, allowance=self.rng.random())
+                self.peers[entry.id] = peer
             else:
                 peer.entry = entry
-        self.peers = {
-            ident: peer
-            for ident, peer in self.peers.items()
-            if peer.entry.state is not ServerState.GONE or peer.waiting > 0
-        }
-        self.ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
-        self.suspects = {peer.entry.id: peer for peer in self.ready if peer.suspect}
-        self.summed_ms = -INF
+            self.suspects.pop(entry.id, None)
+            if entry.state is ServerState.GONE and peer.waiting <= 0:
+                del self.peers[entry.id]
+            elif entry.state is ServerState.READY and peer.suspect:
+                self.suspects[entry.id] = peer
+        self._ready, self.summed_ms = None, -INF
+
+    @property
+    def ready(self) -> list[Peer]:
+        """The servers that may be sent to, listed anew when one is next looked for after changes."""
+        if self._ready is None:
+            self._ready = [peer for peer in self.peers.values() if peer.entry.state is ServerState.READY]
+        return self._ready
 
     def warmth(self, peer: Peer, now: float) -> float:
         """The part of its capacity a server surely has: from cold_from, evenly over cold_ms."""
@@ -546,7 +552,8 @@
         def rank(peer: Peer) -> tuple[float, bool, float]:
             return self.shunned_until(peer, now), peer.entry.id in tried, self.cost(peer, now)
 
-        for pool in (self.rng.sample(self.ready, min(LOOKS, len(self.ready))), self.ready):
+        ready = self.ready
+        for pool in (self.rng.sample(ready, min(LOOKS, len(ready))), ready):
             fit = [(rank(peer), peer) for peer in pool if self.usable(peer, now) and allowed(peer)]
             best = min(fit, key=lambda pair: pair[0], default=None)
             if best and best[0][0] <= now and not best[0][1]:
--- a/ironstage/net/config.py
+++ b/ironstage/net/config.py
@@ -8,11 +8,12 @@
 from typing import Any
 
 from ironstage import interface as api
-from ironstage.wire import WireError, parse_settings
+from ironstage.wire import MOST, WireError, parse_settings
 
 Address = tuple[str, int]
 
 SOCKETS = 1024  # descriptors; what DEPLOY grants on the days that count, where the file is silent
+LEAST_SOCKETS = 64  # for the loop, the listener, discovery, and some connections either way
 MEMORY_MB = 192.0  # what DEPLOY grants at most on those days
 PROGRAM_MB = 20.0  # of the memory; the program itself with all its tables (14 MB seen on the long day)
 BODY_COPIES = 4  # of a body at a time: its pieces, the whole, the message to a server, what is unsent of it
@@ -60,10 +61,12 @@
     return value
 
 
-def _number(raw: dict[str, Any], key: str, default: float) -> float:
+def _number(raw: dict[str, Any], key: str, default: float, least: float = 0.0) -> float:
     value = raw.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        raise ConfigError(f"{key} is not a number above 0")
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < MOST:
+        raise ConfigError(f"{key} is not a number above 0, or beyond sense")
+    if value < least:
+        raise ConfigError(f"{key} is {value}, under the {least:g} that a limiter needs")
     return float(value)
 
 
@@ -112,7 +115,7 @@
         listen=parse_address(environ.get("GW_LISTEN") or raw.get("listen")),
         discovery=parse_address(environ.get("GW_DISCOVERY") or raw.get("discovery")),
         seed=_seed(raw.get("seed", "0")),
-        sockets=int(_number(limits, "sockets", SOCKETS)),
+        sockets=int(_number(limits, "sockets", SOCKETS, LEAST_SOCKETS)),
         body_bytes=_body_bytes(_number(limits, "memory_mb", MEMORY_MB)),
         max_open=int(min(MAX_OPEN, _number(ceilings, "maxOpen", MAX_OPEN))),
         # On sockets a refusal may always tell when to come back, whatever the simulator's clients hear.
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -100,8 +100,8 @@
     def __init__(self, on_line: Callable[[bytes], bool]) -> None:
         self._on_line = on_line
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = b""
-        self._body = b""
+        self._held = bytearray()  # of a line that has begun; grown in place, as it may come byte by byte
+        self._cut = False  # whether it is whole
         self._transport: asyncio.Transport | None = None
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.heard = asyncio.get_running_loop().time()
@@ -117,9 +117,11 @@
             log.warning("discovery: %r", error)
             self.close()
             return
-        *lines, self._rest = (self._rest + self._body).split(b"\n")
-        self._body = b""
-        if len(self._rest) > LONGEST_LINE:
+        lines: list[bytes] = []
+        if self._cut:  # only then: cut anew for each piece, a long list in many would cost its length squared
+            *lines, rest = bytes(self._held).split(b"\n")
+            self._held, self._cut = bytearray(rest), False
+        if len(self._held) > LONGEST_LINE:
             log.warning("discovery: a line of over %d bytes", LONGEST_LINE)
             self.close()
         for line in lines:
@@ -129,7 +131,8 @@
 
     def on_body(self, body: bytes) -> None:
         if self._parser.get_status_code() == 200:
-            self._body += body
+            self._held += body
+            self._cut = self._cut or b"\n" in body
 
     def on_message_complete(self) -> None:
         self.close()
--- a/ironstage/wire.py
+++ b/ironstage/wire.py
@@ -257,6 +257,9 @@
     return _U32.pack(len(body)) + body
 
 
+MOST = 1e15  # of any setting; far beyond what one means, and still exact as a float
+
+
 class _Table:
     """A settings object that names the path of a key that is missing or of a wrong type."""
 
@@ -280,12 +283,14 @@
             raise WireError(f"settings: {self._name(key)} is missing or not a list")
         return [_Table(row, f"{self._name(key)}[{i}]") for i, row in enumerate(rows)]
 
-    def number(self, key: str, default: float | None = None) -> float:
+    def number(self, key: str, default: float | None = None, least: float = 0.0) -> float:
         value = self.raw.get(key, default)
         if value is None:
             raise WireError(f"settings: {self._name(key)} is missing")
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise WireError(f"settings: {self._name(key)} is not a number")
+        if not least <= value < MOST:  # nor NaN nor infinite, which JSON's reader lets pass
+            raise WireError(f"settings: {self._name(key)} is out of range: {value}")
         return float(value)
 
     def flag(self, key: str) -> bool:
@@ -355,7 +360,7 @@
     report = root.table("report") if "report" in root.raw else _Table({}, "report")
     return api.Settings(
         me=int(root.number("me")),
-        gateways=int(root.number("balancers")),
+        gateways=int(root.number("balancers", least=1)),
         zone=int(root.number("myZone", 0)),
         classes=tuple(_request_class(row) for row in root.tables("services")),
         plans=tuple(_plan(row) for row in root.tables("contracts")),
@@ -367,7 +372,7 @@
         ask_within_ms=rules.number("askWithinMs", 0),
         meter_ms=extra.number("meteringMs", 0),
         post_paid=extra.flag("postPaid"),
-        max_attempts=int(limits.number("maxAttempts")),
+        max_attempts=int(limits.number("maxAttempts", least=1)),
         second_copies=limits.flag("secondCopies"),
         may_cancel=limits.flag("cancel"),
         may_probe=limits.flag("probing"),
