Count what is out with its age so far, so that a jam shows an aim sooner

Design: at each rerun of the search the attempts that are out join the window's ends as given up now; being censored, they say only that an answer takes longer than that. Those at suspects stay out, as their time-outs do, and those past their time, whose time-out is due.

At fault: `_rerun`, which read ended attempts only.

--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -931,6 +931,16 @@
             self.low[which] = min(latency.tenth(rows), self.low[which] * LOW_RISE)
         return self.low[which] if self.low[which] < INF else 0.0
 
+    def _awaited(self, now: float) -> list[latency.Ended]:
+        """What is out, as if given up now: in a jam its age tells an aim sooner than its time-out will."""
+        return [
+            latency.Ended(now, request.event.cls, now - attempt.sent, False)
+            for request in self.requests.values()
+            if now < request.end_ms
+            for attempt in request.attempts
+            if attempt.out and (attempt.server.id not in self.fleet.suspects or self.fleet.all_slow())
+        ]
+
     def _rerun(self, now: float) -> None:
         """Estimate the load from the window and set the lane caps by the search."""
         self.window.trim(now)
@@ -954,19 +964,20 @@
         self.strays = len(quick) > FEWEST and enough and late <= TAIL * len(quick)
         if self.lossy and not before:
             self.actions.append(api.Log(f"answers get lost: {lost} beside {len(quick)}"))
-        told = self.window.answered() if self.lossy else self.window.ends
+        ended = self.window.answered() if self.lossy else list(self.window.ends)
+        told = ended if self.lossy else ended + self._awaited(now)
         of_lane: list[list[tuple[float, bool]]] = [[], []]
         of_class: list[list[tuple[float, bool]]] = [[] for _ in self.chances]
-        for ended in told:
-            of_lane[lanes[ended.cls]].append((ended.elapsed, ended.answered))
-            if ended.at >= now - WINDOW_MS:
-                of_class[ended.cls].append((ended.elapsed, ended.answered))
+        for one in told:
+            of_lane[lanes[one.cls]].append((one.elapsed, one.answered))
+            if one.at >= now - WINDOW_MS:
+                of_class[one.cls].append((one.elapsed, one.answered))
         self.chances = [latency.Chance(ends) for ends in of_class]
         rows = [latency.weighted(ends) for ends in of_lane]
         every = sorted(rows[0] + rows[1])
         if every:
             self.fleet.mean_ms = max(1.0, latency.mean(every))
-        if len(told) < FEWEST or not rows[0]:
+        if len(ended) < FEWEST or not rows[0]:
             return
         low = [self._light(which, lane) for which, lane in enumerate(rows)]
         load = 1.0 - self._light(2, every) / self.fleet.mean_ms
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -149,3 +149,21 @@
     assert len(window.ends) == 10
     window.trim(20025.0)
     assert [one.at for one in window.ends] == [25.0, 26.0, 27.0, 28.0, 29.0]
+
+
+def test_what_is_out_tells_of_a_jam_before_its_time_out() -> None:
+    rig = fed([1000.0])
+    usual = rig.gateway.fleet.mean_ms
+    for n in range(8):
+        assert sends(rig.arrive(2600.0 + n, SAFE))
+    rig.tick(3550.0)
+    assert rig.gateway.fleet.mean_ms > 1.5 * usual
+
+
+def test_one_attempt_that_is_past_its_time_tells_nothing_more() -> None:
+    rig = fed([1000.0])
+    usual = rig.gateway.fleet.mean_ms
+    assert sends(rig.arrive(2600.0, SAFE))
+    rig.tick(3601.0)
+    rig.tick(4200.0)
+    assert rig.gateway.fleet.mean_ms == pytest.approx(usual, rel=0.1)
