--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -61,9 +61,6 @@
 KEPT = 0.1  # of the burst, times what a request's worth falls short of the dearest's: kept for such
 KEPT_OVER = 0.8  # of the same, times the root of what the let-in share falls short of 1
 KEPT_DOOR = 0.06  # more of that for each door: among many the share is a rough guess, and dear tries gain
-KEPT_SHORT = (
-    4.0  # times what the share falls short of 1, at most: cheap tries end whole only at an excess like theirs
-)
 DEBT = 1.0  # of the burst; how far below empty the store estimate may run
 LOSS = 0.15  # of the recent attempts; with more time-outs though answers come quickly, answers get lost
 MOST = (
@@ -398,8 +395,7 @@
         estimate a margin. It hurts a customer that asks for cheap things alone: that much of its burst, and
         where it is beyond its quota a little of its rate, go unused.
         """
-        short = 1.0 - share
-        over = min(KEPT_SHORT * short, (KEPT_OVER + KEPT_DOOR * self.doors) * math.sqrt(short))
+        over = (KEPT_OVER + KEPT_DOOR * self.doors) * math.sqrt(1.0 - share)
         return (KEPT + over) * (1.0 - worth) * self.plan.burst
 
     def lets_in(self, now: float, units: float, dice: float, worth: float = 1.0) -> bool:
