--- a/ironstage/logic.py
+++ b/ironstage/logic.py
@@ -45,7 +45,6 @@
 PRIOR_USE = 1.0  # of the rate; what a customer is taken to use before its meter was read
 PRIOR_UNITS = 0.3  # units that this guess weighs
 READING_KEEP = 0.5  # of the earlier readings' weight kept at a new one
-FEW_DOORS = 8  # own tries of a customer with more say less: its part here shifts, and is mostly chance
 STORE_USE = 0.7  # of the rate; what the others are taken to draw together
 STORE_UNITS = 0.7  # units that this guess weighs at least
 STORE_DOOR = 0.1  # units that it weighs for each door: our part of many is thin, and shifts within seconds
@@ -308,10 +307,8 @@
         if self.plan.rate <= 0:
             return min(1.0, 100.0 / (self.usage or 100.0))
         weight, rate = math.exp((self.read_at - now) / AGE_MS), self.plan.rate / 1000.0
-        sure = min(1.0, FEW_DOORS / self.doors)
-        asked = sure * self.asked * math.exp((self.asked_at - now) / AGE_MS)
-        units = PRIOR_UNITS + self.used * weight + asked
-        watched = sure * self.part() * AGE_MS * (1.0 - math.exp((self.born - now) / AGE_MS))
+        units = PRIOR_UNITS + self.used * weight + self.asked * math.exp((self.asked_at - now) / AGE_MS)
+        watched = self.part() * AGE_MS * (1.0 - math.exp((self.born - now) / AGE_MS))
         return min(1.0, rate * (PRIOR_UNITS / (PRIOR_USE * rate) + self.seen * weight + watched) / units)
 
     def unseen(self) -> tuple[float, float]:
