--- a/ironstage/latency.py
+++ b/ironstage/latency.py
@@ -69,7 +69,7 @@
                 self._times.append(elapsed)
                 self._within.append(done / total)
         self._least = PRIOR / total
-        self._beyond = 1.0 - done / total
+        self._beyond = max(0.0, 1.0 - done / total)  # sums of parts may pass their whole by a rounding
 
     def within(self, wait: float) -> float:
         """Past the longest that was seen at the rate up to there: what is out may still be answered."""
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -54,6 +54,16 @@
     assert latency.Chance([(100.0, False)] * 500).within(10.0) > 0.0
 
 
+def test_chance_is_one_at_most_whatever_the_rounding() -> None:
+    """lbsim rough-1: weights added up to more than their number, and a power of that was no real number."""
+    rng = random.Random(3)
+    for _ in range(2000):
+        ended = [(rng.expovariate(0.01), rng.random() < 0.7) for _ in range(rng.randrange(1, 40))]
+        chance = latency.Chance([*ended, (1000.0, True)])
+        for wait in (1.0, 100.0, 1000.0, 1234.5, 9999.0):
+            assert 0.0 < chance.within(wait) <= 1.0
+
+
 def fed(waits: list[float]) -> Rig:
     """A gateway whose class answers after 20 to 140 ms, evenly, to clients that wait so long."""
     rig = Rig(gateways=200)
