--- a/review/standins.py
+++ b/review/standins.py
@@ -282,13 +282,13 @@
     customer_id: int,
     deadline_s: float,
     idempotency_key: str = "",
-    body: bytes = b"",
+    body: bytes | None = None,
     units: int = 1,
     spread: int = 2,
     plan: str = "laaja",
 ) -> bytes:
-    """Return a client's request in the form of the protocol page."""
-    method = "POST" if idempotency_key else "GET"
+    """Return a client's request in the form of the protocol page: a GET, or a POST if there is a body."""
+    method = "GET" if body is None else "POST"
     lines = [
         f"{method} /{class_name}/{request_id} HTTP/1.1",
         "Host: backend.local",
@@ -300,8 +300,10 @@
         f"X-Call-Terms: units={units},spread={spread},first=0",
     ]
     if idempotency_key:
-        lines += [f"Idempotency-Key: {idempotency_key}", f"Content-Length: {len(body)}"]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+        lines.append(f"Idempotency-Key: {idempotency_key}")
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
 
 
 def run_case(case: Callable[[Record], Awaitable[int]], case_file: str, timeout_s: float = 110.0) -> None:
