Let a server connection rest after a response, so that no late copy answers the next request

The second copy of a response left its server 2.3 ms after the response.

Cause: Servers.send took the connection used last at once (_finish_attempt puts it back into the pool when the response is complete). A copy that was still on its way when the next request was written was parsed as that request's response. is_reusable and data_received see only bytes that have arrived.

A request that finds only resting connections opens a new one, which the pool keeps.

The tests failed before (the duplicate was the response: b"one" for b"two"). Two tests whose subject is something else switch the rest off by setting it to 0 s; they check what they did.

--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import contextlib
 import logging
 import re
@@ -29,6 +30,9 @@
 # A connection is reused within this fraction of the servers' idle timeout: clocks need not agree exactly.
 IDLE_TIMEOUT_FRACTION = 0.5
 SAFE_REUSE_IDLE_S = 0.05  # no server closes a connection that has been idle for less
+# A connection is reused only so long after its last response: a second copy of that response, which a server
+# may send some milliseconds late, would be taken for the response to the next request.
+DUPLICATE_RESPONSE_WAIT_S = 0.025
 # After a connection broke that had been idle for a time t, others are reused up to this fraction of t.
 BROKEN_IDLE_FRACTION = 0.5
 # Growth of that bound at each call of `close_expired_connections`, every 0.25 s: it doubles in about a minute
@@ -130,6 +134,7 @@
         self._partial_response_timer: asyncio.TimerHandle | None = None  # runs while a response is incomplete
         self.request_written = False  # the whole request has been passed to the kernel
         self.idle_since_s = 0.0
+        self.min_idle_s = 0.0  # idle time before the next attempt; 0 if there was no response so far
         self.prior_idle_s = 0.0  # idle time before the current attempt
         self._nothing_received = True  # no byte received since the current attempt started
 
@@ -138,6 +143,7 @@
         self._transport = cast(asyncio.Transport, transport)
         # With this limit, resume_writing is called once the last byte has been written.
         self._transport.set_write_buffer_limits(high=0)
+        self.idle_since_s = monotonic()
 
     def start(self, attempt: Attempt) -> None:
         """Send an attempt's request over this connection."""
@@ -308,6 +314,7 @@
             self._headers.get(b"srv-load", b""),
         )
         self._body_parts = []
+        self.idle_since_s, self.min_idle_s = monotonic(), DUPLICATE_RESPONSE_WAIT_S
         if self._keep_alive and self.request_written:
             self._servers.add_idle_connection(self._server, self)
         else:
@@ -318,6 +325,8 @@
 class Servers:
     """The servers by id, and a pool of connections to them.
 
+    A connection rests for DUPLICATE_RESPONSE_WAIT_S after each response before it is reused.
+
     At most `max_connections` are open. Servers close a connection idle for `server_idle_timeout_s`.
     """
 
@@ -358,29 +367,90 @@
         on_end: Callable[[AttemptResult], None],
         at_most_once: bool = False,
     ) -> Attempt:
-        """Start an attempt over the most recently used idle connection, or over a new one.
+        """Start an attempt over an idle connection, or over a new one.
 
         An `at_most_once` request reuses a connection only within SAFE_REUSE_IDLE_S: the server might be
-        closing one that has been idle for longer, and the request can't be retried after a reset.
+        closing one that has been idle for longer, and the request can't be retried after a reset. So it
+        waits for a connection that was used just before, where other requests use an older one or a new one.
         """
         attempt = Attempt(message, deadline_s, on_end)
         server = self._servers[server_id]
         max_idle_s = min(self._max_idle_s, SAFE_REUSE_IDLE_S) if at_most_once else self._max_idle_s
-        while server.idle_connections:
-            connection = server.idle_connections[-1]
-            connection.prior_idle_s = monotonic() - connection.idle_since_s
-            if max_idle_s < connection.prior_idle_s <= self._max_idle_s:
-                break  # still of use to other requests; the remaining ones have been idle even longer
-            server.idle_connections.pop()
-            if connection.prior_idle_s <= max_idle_s and connection.is_reusable():
-                connection.start(attempt)
-                return attempt
-            connection.close_immediately()
-        task = asyncio.get_running_loop().create_task(self._connect(server, attempt))
+        if connection := self._take_idle_connection(server, max_idle_s):
+            connection.start(attempt)
+            return attempt
+        resting_connection = self._take_resting_connection(server) if at_most_once else None
+        coroutine = (
+            self._start_after_rest(server, attempt, resting_connection)
+            if resting_connection
+            else self._connect(server, attempt)
+        )
+        task = asyncio.get_running_loop().create_task(coroutine)
         self._connect_tasks.add(task)
         task.add_done_callback(self._connect_tasks.discard)
         return attempt
 
+    def _take_idle_connection(self, server: Server, max_idle_s: float) -> _ServerConnection | None:
+        """Remove and return the most recently used reusable connection, or None if there is none.
+
+        The connection has been idle for at most `max_idle_s`. Connections that can no longer be reused are
+        closed on the way.
+        """
+        now_s = monotonic()
+        for connection in reversed(tuple(server.idle_connections)):
+            idle_s = now_s - connection.idle_since_s
+            if idle_s < connection.min_idle_s:
+                continue  # a duplicate of its last response may still arrive
+            if max_idle_s < idle_s <= self._max_idle_s:
+                return None  # still of use to other requests; the remaining ones have been idle even longer
+            server.idle_connections.remove(connection)
+            if idle_s <= max_idle_s and connection.is_reusable():
+                connection.prior_idle_s = idle_s
+                return connection
+            connection.close_immediately()
+        return None
+
+    def _take_resting_connection(self, server: Server) -> _ServerConnection | None:
+        """Remove and return the idle connection that may be reused next, or None if none is resting."""
+        now_s = monotonic()
+        for index, connection in enumerate(server.idle_connections):
+            if now_s - connection.idle_since_s < connection.min_idle_s:
+                return server.idle_connections.pop(index)
+        return None
+
+    async def _start_after_rest(
+        self, server: Server, attempt: Attempt, connection: _ServerConnection
+    ) -> None:
+        """Start an attempt over a connection that may not be reused yet; if it breaks, over a new one."""
+        address = server.address
+        try:
+            await asyncio.sleep(
+                connection.idle_since_s + connection.min_idle_s - monotonic() + TIMER_RESOLUTION_S
+            )
+        except asyncio.CancelledError:
+            connection.close_immediately()
+            raise
+        connection.prior_idle_s = monotonic() - connection.idle_since_s
+        if connection.prior_idle_s > SAFE_REUSE_IDLE_S or not connection.is_reusable():
+            connection.close_immediately()
+            if not attempt.ended:
+                await self._connect(server, attempt)
+        else:
+            self._start_if_still_wanted(server, address, attempt, connection)
+
+    def _start_if_still_wanted(
+        self, server: Server, address: Address, attempt: Attempt, connection: _ServerConnection
+    ) -> None:
+        """Start an attempt after a wait; if it has ended by then, keep the connection for the next one."""
+        if not server.ready or server.address != address:
+            # The server began to drain or moved meanwhile: no new request may go to this address.
+            connection.close_immediately()
+            attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
+        elif attempt.ended:
+            self.add_idle_connection(server, connection)
+        else:
+            connection.start(attempt)
+
     async def _connect(self, server: Server, attempt: Attempt) -> None:
         """Open a connection for an attempt; if the attempt has ended by then, keep it for the next one."""
         if self._open_connection_count >= self._max_connections and not self._close_longest_idle_connection():
@@ -408,22 +478,14 @@
                 sock.close()
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
             return
-        if not server.ready or server.address != address:
-            # The server began to drain or moved during the connect: no new request may go to this address.
-            connection.close_immediately()
-            attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
-        elif attempt.ended:
-            self.add_idle_connection(server, connection)
-        else:
-            connection.start(attempt)
+        self._start_if_still_wanted(server, address, attempt, connection)
 
     def add_idle_connection(self, server: Server, connection: _ServerConnection) -> None:
         """Keep a connection for reuse, unless its server takes no new requests."""
         if not server.ready:
             connection.close_immediately()
             return
-        connection.idle_since_s = monotonic()
-        server.idle_connections.append(connection)
+        bisect.insort(server.idle_connections, connection, key=lambda idle: idle.idle_since_s)
 
     def handle_connection_closed(self, server: Server, connection: _ServerConnection) -> None:
         """Forget a connection that was closed."""
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -346,8 +346,9 @@
     run(test())
 
 
-def test_reset_of_reused_connection_permits_no_retry() -> None:
+def test_reset_of_reused_connection_permits_no_retry(monkeypatch: pytest.MonkeyPatch) -> None:
     """A request on a reused connection that is reset is not sent again: it may have run."""
+    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
 
     async def test() -> None:
         async def handler(request: ReceivedRequest) -> None:
@@ -383,6 +384,79 @@
     run(test())
 
 
+@pytest.mark.parametrize("at_most_once", [False, True])
+def test_late_duplicate_response_does_not_answer_the_next_request(
+    at_most_once: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A second copy of a response that arrives after the next request was sent is not taken for its own."""
+    # Guards against clients that get 200 with the response to another customer's request.
+    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.5)
+    monkeypatch.setattr(servers_module, "SAFE_REUSE_IDLE_S", 10.0)
+
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.add_or_update(1, listener.address, True)
+
+        async def respond(body: bytes) -> socket.socket:
+            connection = await listener.accept()
+            await loop.sock_recv(connection, 100)
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + body)
+            return connection
+
+        first_task = asyncio.create_task(respond(b"one"))
+        assert (await send_and_wait(servers, 1, REQUEST)).body == b"one"
+        first_connection = await first_task
+        second_task = asyncio.create_task(respond(b"two"))
+        result_future: asyncio.Future[AttemptResult] = loop.create_future()
+        servers.send(1, REQUEST, loop.time() + 20, result_future.set_result, at_most_once)
+        first_connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
+        assert (await result_future).body == b"two"
+        (await second_task).close()
+
+    run(test())
+
+
+def test_at_most_once_request_waits_for_the_connection_used_just_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It can't use one that has been idle for longer, so it would open a new one for each request."""
+    monkeypatch.setattr(servers_module, "SAFE_REUSE_IDLE_S", 10.0)
+
+    async def test() -> None:
+        async def handler(request: ReceivedRequest) -> None:
+            request.reply(body=b"own")
+
+        async with backend(handler) as server:
+            assert await connection_numbers_used(server, 0.0, "fix") == [1, 1]
+
+    run(test())
+
+
+@pytest.mark.parametrize("server_drains", [False, True])
+def test_connection_that_a_cancelled_attempt_waited_for(server_drains: bool) -> None:
+    """It is kept for the next request, unless the server takes none any more; nothing is sent on it."""
+
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.add_or_update(1, listener.address, True)
+        first_task = asyncio.create_task(send_and_wait(servers, 1, REQUEST))
+        connection = await listener.accept()
+        await loop.sock_recv(connection, 100)
+        connection.send(OK_RESPONSE)
+        await first_task
+        result_future: asyncio.Future[AttemptResult] = loop.create_future()
+        attempt = servers.send(1, REQUEST, loop.time() + 20, result_future.set_result, at_most_once=True)
+        attempt.cancel()
+        assert (await result_future).status is CallStatus.CANCELLED
+        servers.add_or_update(1, listener.address, not server_drains)
+        await wait_until(lambda: not servers._connect_tasks)
+        assert len(servers._servers[1].idle_connections) == (0 if server_drains else 1)
+        servers.close()
+        assert await loop.sock_recv(connection, 100) == b""
+
+    run(test())
+
+
 def test_cancel_closes_connection_at_once() -> None:
     """The server sees the connection of a cancelled attempt close before another attempt can reach it."""
 
@@ -444,8 +518,9 @@
     run(test())
 
 
-def test_usage_and_load_report_are_read_from_headers() -> None:
+def test_usage_and_load_report_are_read_from_headers(monkeypatch: pytest.MonkeyPatch) -> None:
     """The result holds the metered use and the load report; an invalid use counts as no reading."""
+    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
 
     async def test() -> None:
         headers = iter(
@@ -537,7 +612,8 @@
 async def connection_numbers_used(server: Backend, idle_s: float, class_name: str) -> list[int]:
     """Send two requests of a class, the second after the first one's connection was idle for `idle_s`.
 
-    Return the numbers of the connections that they used.
+    Return the numbers of the connections that they used. An `idle_s` below 0 makes up for the time that the
+    test itself takes.
     """
     async with running_limiter(host_entry("a", server.address)) as fixture:
         client = await fixture.connect()
@@ -552,6 +628,8 @@
     ("class_name", "idle_s", "expected_connection_numbers"),
     [
         ("fix", servers_module.SAFE_REUSE_IDLE_S, [1, 2]),  # can't be retried after a reset
+        ("read", -1.0, [1, 2]),  # a duplicate of the first response may still be on its way
+        ("read", servers_module.DUPLICATE_RESPONSE_WAIT_S, [1, 1]),
         ("read", servers_module.SAFE_REUSE_IDLE_S, [1, 1]),
         ("read", 14.0, [1, 1]),
         ("read", 15.0, [1, 2]),  # half of the servers' idle timeout of 30 s
