Write a repeat only while a hold-up of 150 ms still fits into its window

The first attempt fails after 0.955 s of a window of 1 s, the limiter decides on a repeat at once and opens a connection, is held up for 0.135 s and then writes the request, when the servers of the pod have forgotten the key.

Cause: Gateway._may_send_to allowed a repeat up to the last instant of the window, and nothing looked at the window again before the write, which follows the connect (up to connectTimeoutMs) and any hold-up.

Change: a repeat has to be written by the end of its window less 150 ms. The decision keeps to it (Send.write_by_ms), and so does the connection just before it writes; a request written only in part by then is given up. Such an attempt ends with NOT_SENT, which blames no server. As the clock is read again at the write, what is left between reading and writing is the hold-up itself, which the 150 ms cover.

The tests fail on the code before: the repeats of both cases of test_held_up_repeat_does_not_reach_a_server_after_its_window arrive after the window and its slack of 50 ms.

--- a/ironstage/interface.py
+++ b/ironstage/interface.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -41,7 +42,7 @@
     ERROR: the server's answer is an error or invalid. REJECTED: the server declined the request without
     running it. CONNECT_FAILED: the server did not get the whole request. RESET: the connection broke after
     the request was sent. NOT_SENT: the attempt was not sent, because the request had already ended, was past
-    its deadline or had no attempts left.
+    its deadline, had no attempts left or could not be written whole in time.
     """
 
     OK = "ok"
@@ -297,11 +298,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Action: send the request to a server; the attempt times out at `attempt_deadline_ms`."""
+    """Action: send the request to a server; the attempt times out at `attempt_deadline_ms`.
+
+    The attempt ends with NOT_SENT if the request has not been written whole by `write_by_ms`.
+    """
 
     request_id: int
     server_id: int
     attempt_deadline_ms: float
+    write_by_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -315,6 +315,7 @@
             not pending
             or not pending.is_open
             or now_ms >= attempt_deadline_ms
+            or now_ms > action.write_by_ms
             or attempt_number >= self._settings.max_attempts
         ):
             request_closed = not pending or not pending.is_open
@@ -331,6 +332,7 @@
             self._to_loop_time(attempt_deadline_ms),
             partial(self._handle_attempt_end, request_id, pending, attempt_number, action.server_id, now_ms),
             pending.at_most_once,
+            self._to_loop_time(action.write_by_ms),
         )
         pending.outstanding_attempt_count += 1
         pending.attempts.append(attempt)
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -11,6 +11,7 @@
 import bisect
 import contextlib
 import logging
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -72,26 +73,36 @@
 class Attempt:
     """One transmission of an HTTP request to a server; it times out at `deadline_s`.
 
-    `message` is the whole request. `on_end` is called once, with the result.
+    `message` is the whole request. If it has not been written whole by `write_by_s`, the attempt ends with
+    NOT_SENT. `on_end` is called once, with the result.
     """
 
-    __slots__ = ("_on_end", "_timer", "connection", "deadline_s", "ended", "message")
+    __slots__ = ("_on_end", "_timers", "connection", "deadline_s", "ended", "message", "write_by_s")
 
-    def __init__(self, message: bytes, deadline_s: float, on_end: Callable[[AttemptResult], None]) -> None:
+    def __init__(
+        self,
+        message: bytes,
+        deadline_s: float,
+        on_end: Callable[[AttemptResult], None],
+        write_by_s: float = math.inf,
+    ) -> None:
         self.message = message
         self.deadline_s = deadline_s
+        self.write_by_s = write_by_s
         self.connection: _ServerConnection | None = None
         self.ended = False
         self._on_end = on_end
-        self._timer = asyncio.get_running_loop().call_at(
-            deadline_s + TIMER_RESOLUTION_S, self._handle_timeout
-        )
+        loop = asyncio.get_running_loop()
+        self._timers = [loop.call_at(deadline_s + TIMER_RESOLUTION_S, self._handle_timeout)]
+        if write_by_s < deadline_s:
+            self._timers.append(loop.call_at(write_by_s + TIMER_RESOLUTION_S, self._handle_write_timeout))
 
     def end(self, result: AttemptResult) -> None:
         """End the attempt and report its result; calls after the first do nothing."""
         if not self.ended:
             self.ended = True
-            self._timer.cancel()
+            for timer in self._timers:
+                timer.cancel()
             self.connection = None
             self._on_end(result)
 
@@ -99,10 +110,16 @@
         """End the attempt with CANCELLED and close its connection."""
         self._abort(CallStatus.CANCELLED)
 
+    def _is_written(self) -> bool:
+        """Return whether the whole request has been written: a server runs it only with its last byte."""
+        return self.connection is not None and self.connection.request_written
+
     def _handle_timeout(self) -> None:
-        # A server runs a request only once it has its last byte.
-        written = self.connection is not None and self.connection.request_written
-        self._abort(CallStatus.TIMEOUT if written else CallStatus.CONNECT_FAILED)
+        self._abort(CallStatus.TIMEOUT if self._is_written() else CallStatus.CONNECT_FAILED)
+
+    def _handle_write_timeout(self) -> None:
+        if not self._is_written():
+            self._abort(CallStatus.NOT_SENT)
 
     def _abort(self, status: CallStatus) -> None:
         if self.connection:
@@ -366,6 +383,7 @@
         deadline_s: float,
         on_end: Callable[[AttemptResult], None],
         at_most_once: bool = False,
+        write_by_s: float = math.inf,
     ) -> Attempt:
         """Start an attempt over an idle connection, or over a new one.
 
@@ -373,7 +391,7 @@
         closing one that has been idle for longer, and the request can't be retried after a reset. So it
         waits for a connection that was used just before, where other requests use an older one or a new one.
         """
-        attempt = Attempt(message, deadline_s, on_end)
+        attempt = Attempt(message, deadline_s, on_end, write_by_s)
         server = self._servers[server_id]
         max_idle_s = min(self._max_idle_s, SAFE_REUSE_IDLE_S) if at_most_once else self._max_idle_s
         if connection := self._take_idle_connection(server, max_idle_s):
@@ -441,12 +459,18 @@
     def _start_if_still_wanted(
         self, server: Server, address: Address, attempt: Attempt, connection: _ServerConnection
     ) -> None:
-        """Start an attempt after a wait; if it has ended by then, keep the connection for the next one."""
+        """Start an attempt after a wait, unless it has ended by then or its request may no longer be written.
+
+        The connection is then kept for the next attempt.
+        """
         if not server.ready or server.address != address:
             # The server began to drain or moved meanwhile: no new request may go to this address.
             connection.close_immediately()
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
-        elif attempt.ended:
+            return
+        if monotonic() > attempt.write_by_s:  # its timer may be late
+            attempt.end(AttemptResult(CallStatus.NOT_SENT))
+        if attempt.ended:
             self.add_idle_connection(server, connection)
         else:
             connection.start(attempt)
--- a/ironstage/policy.py
+++ b/ironstage/policy.py
@@ -128,6 +128,10 @@
 # With more than this fraction of the burst left, a client's late retry takes nothing that others need.
 AMPLE_LEVEL_BURST_FRACTION = 0.5
 
+# --- Constants: retries ---------------------------------------------------------------------------
+# Longest time for which a gateway may be held up between reading its clock and writing a request.
+MAX_WRITE_DELAY_MS = 150.0
+
 # --- Constants: server health, load and choice ----------------------------------------------------
 # With a larger fraction of the ready servers suspect, the servers are taken to be slow, not unreachable.
 OVERLOAD_SUSPECT_FRACTION = 0.6
@@ -1226,21 +1230,25 @@
         first_request_bin = min(wait_bin for wait_bin, count in bin_counts.items() if count >= min_count)
         return wait_ms < (first_request_bin - 1) * CLIENT_WAIT_BIN_MS
 
-    def _may_send_to(self, request: Request, server: TrackedServer, now_ms: float) -> bool:
-        """Return whether the rules on repeated execution allow an attempt at this server."""
-        if request.outstanding_count() and not self.settings.second_copies:
-            return False
-        possibly_run = [attempt for attempt in request.attempts if attempt.may_have_run]
-        if not possibly_run or request.request_class.effect is RetrySafety.IDEMPOTENT:
-            return True
-        if (
-            request.request_class.effect is RetrySafety.AT_MOST_ONCE
-            or now_ms - possibly_run[0].sent_ms > request.request_class.window_ms
-        ):
-            return False
-        return all(
+    def _repeat_deadline_ms(self, request: Request) -> float:
+        """Return until when another attempt may be written, as far as repeated execution is concerned.
+
+        A repeat has to reach a server while the servers still recognise it, even if this gateway is held up
+        just before it writes.
+        """
+        first_possibly_run = next((attempt for attempt in request.attempts if attempt.may_have_run), None)
+        if first_possibly_run is None or request.request_class.effect is RetrySafety.IDEMPOTENT:
+            return INF
+        if request.request_class.effect is RetrySafety.AT_MOST_ONCE:
+            return -INF
+        return first_possibly_run.sent_ms + request.request_class.window_ms - MAX_WRITE_DELAY_MS
+
+    def _may_repeat_at(self, request: Request, server: TrackedServer) -> bool:
+        """Return whether this server would recognise a repeat of each attempt that may have run."""
+        return request.request_class.effect is RetrySafety.IDEMPOTENT or all(
             self._in_dedup_scope(request.request_class.dedup_scope, attempt.server_entry, server)
-            for attempt in possibly_run
+            for attempt in request.attempts
+            if attempt.may_have_run
         )
 
     def _in_dedup_scope(
@@ -1262,6 +1270,11 @@
             return False
         if len(request.attempts) >= self.settings.max_attempts:
             return False
+        if request.outstanding_count() and not self.settings.second_copies:
+            return False
+        write_by_ms = self._repeat_deadline_ms(request)
+        if now_ms > write_by_ms:
+            return False
         customer = request.customer
         if (
             is_first_attempt
@@ -1273,7 +1286,7 @@
         # requests or leave them unanswered.
         server = self.fleet.choose_server(
             now_ms,
-            lambda candidate: self._may_send_to(request, candidate, now_ms),
+            lambda candidate: self._may_repeat_at(request, candidate),
             tried_server_ids,
             is_first_attempt,
         )
@@ -1303,7 +1316,7 @@
             and attempt.number + 1 < self.settings.max_attempts
         ):
             attempt_deadline_ms = now_ms + time_fraction * (attempt_deadline_ms - now_ms)
-        self.actions.append(api.Send(arrival.request_id, server.entry.id, attempt_deadline_ms))
+        self.actions.append(api.Send(arrival.request_id, server.entry.id, attempt_deadline_ms, write_by_ms))
         return True
 
     def _refuse_or_fail(self, now_ms: float, request: Request) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -7,6 +7,7 @@
 import json
 import random
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -119,7 +120,8 @@
     """A server on loopback that runs `handler` for each request.
 
     Without a handler, the test takes requests from `request_queue` and answers them itself. `requests` holds
-    all requests received so far.
+    all requests received so far. Whenever a connection comes up, the event loop, and so the limiter, is held
+    up for `hold_up_s`.
     """
 
     handler: RequestHandler | None = None
@@ -127,8 +129,10 @@
     request_queue: asyncio.Queue[ReceivedRequest] = field(default_factory=asyncio.Queue)
     connection_count: int = 0
     address: str = ""
+    hold_up_s: float = 0.0
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        time.sleep(self.hold_up_s)
         self.connection_count += 1
         connection_number, connection_closed = self.connection_count, asyncio.Event()
         try:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 from helpers import BASE_SETTINGS, CLASSES, GatewayFixture, action_names, make_server, send_actions
 
@@ -62,6 +64,16 @@
     assert action_names(fixture.end_attempt(2002.0, sent, "error")) == ["Fail"]
 
 
+def test_repeat_leaves_room_for_a_hold_up_before_the_end_of_its_window() -> None:
+    """A repeat that is written 150 ms after the decision still reaches the servers within the window."""
+    for now_ms, may_repeat in ((1851.0, True), (1851.1, False)):
+        fixture = GatewayFixture([make_server(1, 0), make_server(2, 0)])
+        (sent,) = send_actions(fixture.submit_request(1.0, ZONE_DEDUPLICATED, timeout_ms=9000.0))
+        assert sent.write_by_ms == math.inf
+        retries = send_actions(fixture.end_attempt(now_ms, sent, "error"))
+        assert [retry.write_by_ms for retry in retries] == ([1851.0] if may_repeat else [])
+
+
 def test_no_hedge_is_sent_without_second_copies() -> None:
     fixture = GatewayFixture()
     (sent,) = send_actions(fixture.submit_request(1.0, IDEMPOTENT))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections import Counter
 from collections.abc import Iterator
 
@@ -31,6 +32,9 @@
 from ironstage.net.servers import AttemptResult, Servers
 
 DECLINED_HEADER = "Srv-Declined: 1"
+HOLD_UP_S = 0.15  # the longest for which a limiter is held up between reading its clock and writing
+DEDUPLICATION_WINDOW_S = 1.0
+TIME_LIMIT_SLACK_S = 0.05  # of every time limit of the protocol
 
 
 async def request_once(server: Backend, class_name: str = "fix", **headers: str) -> tuple[int, int, bytes]:
@@ -323,6 +327,77 @@
     run(test())
 
 
+@pytest.mark.parametrize("error_after_s", [0.75, 0.95], ids=["before the deadline", "after it"])
+def test_held_up_repeat_does_not_reach_a_server_after_its_window(error_after_s: float) -> None:
+    """A repeat whose write is held up for as long as a limiter may be is not sent too late."""
+    # Guards against payments that are applied twice: servers forget a key at the end of its window.
+
+    async def test() -> None:
+        arrival_times_s: list[float] = []
+
+        async def handler(request: ReceivedRequest) -> None:
+            arrival_times_s.append(time.monotonic())
+            if len(arrival_times_s) == 1:
+                await asyncio.sleep(error_after_s)
+                server_a.hold_up_s = server_b.hold_up_s = HOLD_UP_S
+            request.reply("500 Internal Server Error")
+
+        upload_class = {"effect": "deduplicated", "name": "upload", "aimMs": 1e5, "hardLimitMs": 1e5}
+        settings = {"services": [{**upload_class, "windowMs": DEDUPLICATION_WINDOW_S * 1000}]}
+        async with (
+            backend(handler) as server_a,
+            backend(handler) as server_b,
+            running_limiter(
+                host_entry("a", server_a.address), host_entry("b", server_b.address), settings=settings
+            ) as fixture,
+        ):
+            client = await fixture.connect()
+            assert (await client.request(build_request("upload"))).status_code in (429, 502)
+            first_s, *repeats_s = arrival_times_s
+            latest_s = first_s + DEDUPLICATION_WINDOW_S + TIME_LIMIT_SLACK_S
+            assert all(repeat_s <= latest_s for repeat_s in repeats_s)
+
+    run(test())
+
+
+def test_request_held_up_past_its_write_deadline_is_not_sent() -> None:
+    """The attempt ends with NOT_SENT, nothing is written, and the connection is kept for the next request."""
+
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.add_or_update(1, listener.address, True)
+        result_future: asyncio.Future[AttemptResult] = loop.create_future()
+        servers.send(
+            1, REQUEST, loop.time() + 20, result_future.set_result, write_by_s=time.monotonic() + 0.01
+        )
+        await asyncio.sleep(0)  # the connection is being opened
+        time.sleep(0.02)
+        assert (await result_future).status is CallStatus.NOT_SENT
+        connection = await listener.accept()
+        await wait_until(lambda: bool(servers._servers[1].idle_connections))
+        servers.close()
+        assert await loop.sock_recv(connection, 100) == b""
+
+    run(test())
+
+
+def test_request_not_written_whole_by_its_write_deadline_is_given_up() -> None:
+    async def test() -> None:
+        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        servers.add_or_update(1, listener.address, True)
+        large_request = b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
+        result_future: asyncio.Future[AttemptResult] = loop.create_future()
+        servers.send(
+            1, large_request, loop.time() + 20, result_future.set_result, write_by_s=time.monotonic() + 0.3
+        )
+        connection = await listener.accept()
+        await loop.sock_recv(connection, 100)
+        assert (await result_future).status is CallStatus.NOT_SENT
+        connection.close()
+
+    run(test())
+
+
 def test_idle_connection_closed_by_server_is_replaced() -> None:
     """An idle connection whose close the event loop has not processed yet is replaced by a new one."""
 
