Tell a server the time left when its request is written, not when it was decided on

Cause: Limiter._send formatted Req-Deadline at the decision, and the finished message waited for the connection, up to connectTimeoutMs. Change: Servers.send takes a ServerRequest in place of bytes and two flags, and the header is formatted when the connection writes it.

--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -22,7 +22,7 @@
 from ironstage.interface import CallStatus, ServerState
 from ironstage.net.config import Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
-from ironstage.net.servers import TIMER_RESOLUTION_S, Attempt, AttemptResult, Servers
+from ironstage.net.servers import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest, Servers
 from ironstage.policy import Gateway
 
 log = logging.getLogger(__name__)
@@ -39,7 +39,7 @@
 SERVER_CONNECTION_FRACTION = 0.4
 RESERVED_DESCRIPTOR_COUNT = 32  # for the listener, the discovery watch, the event loop and the log
 
-PROBE_REQUEST = b"GET /metrics/load HTTP/1.1\r\nHost: backend.local\r\n\r\n"
+PROBE_REQUEST = ServerRequest(b"GET /metrics/load HTTP/1.1\r\nHost: backend.local\r\n")
 
 
 class ClientRequest(Protocol):
@@ -325,14 +325,16 @@
                 )
             )
             return
-        deadline_header = f"Req-Deadline: {(attempt_deadline_ms - now_ms) / 1000:.3f}\r\n\r\n"
         attempt = self._servers.send(
             action.server_id,
-            pending.client_request.forwarded_head + deadline_header.encode() + pending.client_request.body,
+            ServerRequest(
+                pending.client_request.forwarded_head,
+                pending.client_request.body,
+                pending.at_most_once,
+                self._to_loop_time(action.write_by_ms),
+            ),
             self._to_loop_time(attempt_deadline_ms),
             partial(self._handle_attempt_end, request_id, pending, attempt_number, action.server_id, now_ms),
-            pending.at_most_once,
-            self._to_loop_time(action.write_by_ms),
         )
         pending.outstanding_attempt_count += 1
         pending.attempts.append(attempt)
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -70,32 +70,48 @@
     idle_connections: list[_ServerConnection] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """An HTTP request to a server.
+
+    `head` is the request line and the headers but Req-Deadline, without the empty line at the end. The server
+    must not run an `at_most_once` request again after a broken attempt. A request that has not been written
+    whole by `write_by_s` is given up.
+    """
+
+    head: bytes
+    body: bytes = b""
+    at_most_once: bool = False
+    write_by_s: float = math.inf
+
+    def message(self, timeout_s: float) -> bytes:
+        """Return the request as it is written; its Req-Deadline tells how long the answer is waited for."""
+        return b"%bReq-Deadline: %.3f\r\n\r\n%b" % (self.head, max(0.0, timeout_s), self.body)
+
+
 class Attempt:
     """One transmission of an HTTP request to a server; it times out at `deadline_s`.
 
-    `message` is the whole request. If it has not been written whole by `write_by_s`, the attempt ends with
-    NOT_SENT. `on_end` is called once, with the result.
+    If the request has not been written whole by its `write_by_s`, the attempt ends with NOT_SENT. `on_end` is
+    called once, with the result.
     """
 
-    __slots__ = ("_on_end", "_timers", "connection", "deadline_s", "ended", "message", "write_by_s")
+    __slots__ = ("_on_end", "_timers", "connection", "deadline_s", "ended", "request")
 
     def __init__(
-        self,
-        message: bytes,
-        deadline_s: float,
-        on_end: Callable[[AttemptResult], None],
-        write_by_s: float = math.inf,
+        self, request: ServerRequest, deadline_s: float, on_end: Callable[[AttemptResult], None]
     ) -> None:
-        self.message = message
+        self.request = request
         self.deadline_s = deadline_s
-        self.write_by_s = write_by_s
         self.connection: _ServerConnection | None = None
         self.ended = False
         self._on_end = on_end
         loop = asyncio.get_running_loop()
         self._timers = [loop.call_at(deadline_s + TIMER_RESOLUTION_S, self._handle_timeout)]
-        if write_by_s < deadline_s:
-            self._timers.append(loop.call_at(write_by_s + TIMER_RESOLUTION_S, self._handle_write_timeout))
+        if request.write_by_s < deadline_s:
+            self._timers.append(
+                loop.call_at(request.write_by_s + TIMER_RESOLUTION_S, self._handle_write_timeout)
+            )
 
     def end(self, result: AttemptResult) -> None:
         """End the attempt and report its result; calls after the first do nothing."""
@@ -171,7 +187,8 @@
         self._head_complete = self._response_complete = self._keep_alive = False
         self._ends_with_connection = False
         self._nothing_received = True
-        self._transport.write(attempt.message)
+        # The time that it took to get here, as for opening a connection, is not told as left.
+        self._transport.write(attempt.request.message(attempt.deadline_s - monotonic()))
         # A failed write closes the transport at once; a partial write leaves the rest in its buffer.
         self.request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -395,11 +412,9 @@
     def send(
         self,
         server_id: int,
-        message: bytes,
+        request: ServerRequest,
         deadline_s: float,
         on_end: Callable[[AttemptResult], None],
-        at_most_once: bool = False,
-        write_by_s: float = math.inf,
     ) -> Attempt:
         """Start an attempt over an idle connection, or over a new one.
 
@@ -407,13 +422,13 @@
         closing one that has been idle for longer, and the request can't be retried after a reset. So it
         waits for a connection that was used just before, where other requests use an older one or a new one.
         """
-        attempt = Attempt(message, deadline_s, on_end, write_by_s)
+        attempt = Attempt(request, deadline_s, on_end)
         server = self._servers[server_id]
-        max_idle_s = min(self._max_idle_s, SAFE_REUSE_IDLE_S) if at_most_once else self._max_idle_s
+        max_idle_s = min(self._max_idle_s, SAFE_REUSE_IDLE_S) if request.at_most_once else self._max_idle_s
         if connection := self._take_idle_connection(server, max_idle_s):
             connection.start(attempt)
             return attempt
-        resting_connection = self._take_resting_connection(server) if at_most_once else None
+        resting_connection = self._take_resting_connection(server) if request.at_most_once else None
         coroutine = (
             self._start_after_rest(server, attempt, resting_connection)
             if resting_connection
@@ -484,7 +499,7 @@
             connection.close_immediately()
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
             return
-        if monotonic() > attempt.write_by_s:  # its timer may be late
+        if monotonic() > attempt.request.write_by_s:  # its timer may be late
             attempt.end(AttemptResult(CallStatus.NOT_SENT))
         if attempt.ended:
             self.add_idle_connection(server, connection)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -12,6 +12,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 from sockets import (
@@ -30,7 +31,7 @@
 
 from ironstage.interface import CallStatus
 from ironstage.net import servers as servers_module
-from ironstage.net.servers import AttemptResult, Servers
+from ironstage.net.servers import AttemptResult, ServerRequest, Servers
 
 DECLINED_HEADER = "Srv-Declined: 1"
 HOLD_UP_S = 0.15  # the longest for which a limiter is held up between reading its clock and writing
@@ -94,6 +95,21 @@
     run(test())
 
 
+def test_forwarded_deadline_leaves_out_the_time_for_opening_a_connection() -> None:
+    # Guards against servers that are told more than is left to the client, and work for one that has gone.
+    async def test() -> None:
+        async def handler(request: ReceivedRequest) -> None:
+            request.reply()
+
+        async with backend(handler) as server, running_limiter(host_entry("a", server.address)) as fixture:
+            client = await fixture.connect()
+            server.hold_up_s = 0.2  # before the request can be written
+            await client.request(build_request("fix", Req_Deadline="5.0"))
+            assert 0 < float(server.requests[0].headers["req-deadline"]) <= 5.0 - server.hold_up_s
+
+    run(test())
+
+
 def test_refused_connection_permits_retry() -> None:
     async def test() -> None:
         async with running_limiter(host_entry("a", unused_address())) as fixture:
@@ -351,12 +367,12 @@
 
 
 async def send_and_wait(
-    servers: Servers, server_id: int, message: bytes, timeout_s: float = 20.0
+    servers: Servers, server_id: int, request: ServerRequest, timeout_s: float = 20.0
 ) -> AttemptResult:
     """Send a request to a server and wait for the attempt's result."""
     loop = asyncio.get_running_loop()
     result_future: asyncio.Future[AttemptResult] = loop.create_future()
-    servers.send(server_id, message, loop.time() + timeout_s, result_future.set_result)
+    servers.send(server_id, request, loop.time() + timeout_s, result_future.set_result)
     return await result_future
 
 
@@ -372,7 +388,8 @@
         return (await asyncio.get_running_loop().sock_accept(self.socket))[0]
 
 
-REQUEST = b"POST /fix HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+REQUEST = ServerRequest(b"POST /fix HTTP/1.1\r\nContent-Length: 0\r\n")
+LARGE_REQUEST = ServerRequest(b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n", b"x" * 64_000_000)
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -383,9 +400,8 @@
     async def test() -> None:
         listener, servers = Listener(), Servers(10, 1.0, 30.0)
         servers.add_or_update(1, listener.address, True)
-        large_request = b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
         attempt_task = asyncio.create_task(
-            send_and_wait(servers, 1, large_request, 0.3 if timed_out else 20.0)
+            send_and_wait(servers, 1, LARGE_REQUEST, 0.3 if timed_out else 20.0)
         )
         connection = await listener.accept()
         await asyncio.get_running_loop().sock_recv(connection, 100)
@@ -436,9 +452,8 @@
         loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
         servers.add_or_update(1, listener.address, True)
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
-        servers.send(
-            1, REQUEST, loop.time() + 20, result_future.set_result, write_by_s=time.monotonic() + 0.01
-        )
+        request = replace(REQUEST, write_by_s=time.monotonic() + 0.01)
+        servers.send(1, request, loop.time() + 20, result_future.set_result)
         await asyncio.sleep(0)  # the connection is being opened
         time.sleep(0.02)
         assert (await result_future).status is CallStatus.NOT_SENT
@@ -454,11 +469,9 @@
     async def test() -> None:
         loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
         servers.add_or_update(1, listener.address, True)
-        large_request = b"POST /fix HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + b"x" * 64_000_000
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
-        servers.send(
-            1, large_request, loop.time() + 20, result_future.set_result, write_by_s=time.monotonic() + 0.3
-        )
+        request = replace(LARGE_REQUEST, write_by_s=time.monotonic() + 0.3)
+        servers.send(1, request, loop.time() + 20, result_future.set_result)
         connection = await listener.accept()
         await loop.sock_recv(connection, 100)
         assert (await result_future).status is CallStatus.NOT_SENT
@@ -483,7 +496,7 @@
         # Sent before the event loop runs again.
         servers.send(1, REQUEST, loop.time() + 20, result_future.set_result)
         connection = await listener.accept()
-        assert await loop.sock_recv(connection, 100) == REQUEST
+        assert (await loop.sock_recv(connection, 100)).startswith(REQUEST.head)
         connection.send(OK_RESPONSE)
         assert (await result_future).status is CallStatus.OK
 
@@ -552,7 +565,8 @@
         first_connection = await first_task
         second_task = asyncio.create_task(respond(b"two"))
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
-        servers.send(1, REQUEST, loop.time() + 20, result_future.set_result, at_most_once)
+        request = replace(REQUEST, at_most_once=at_most_once)
+        servers.send(1, request, loop.time() + 20, result_future.set_result)
         first_connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
         assert (await result_future).body == b"two"
         (await second_task).close()
@@ -589,7 +603,8 @@
         connection.send(OK_RESPONSE)
         await first_task
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
-        attempt = servers.send(1, REQUEST, loop.time() + 20, result_future.set_result, at_most_once=True)
+        request = replace(REQUEST, at_most_once=True)
+        attempt = servers.send(1, request, loop.time() + 20, result_future.set_result)
         attempt.cancel()
         assert (await result_future).status is CallStatus.CANCELLED
         servers.add_or_update(1, listener.address, not server_drains)
