Forward no response that arrives before its request is written whole

Cause: _ServerConnection._finish_attempt looked at request_written only to decide on the reuse of the connection. Change: the attempt ends with CONNECT_FAILED, as the request never ran; a rejection stays one. The new test failed before (status OK).

--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -345,7 +345,11 @@
             self._partial_response_timer = None
 
     def _finish_attempt(self) -> None:
-        """End the current attempt with its complete response, and keep the connection if possible."""
+        """End the current attempt with its complete response, and keep the connection if possible.
+
+        A response that arrives before the request was written whole can't be one to it: the server starts on
+        a request when it has the last byte. Only a rejection counts even so.
+        """
         self._stop_partial_response_timer()
         attempt, self._attempt = self._attempt, None
         if attempt is None:
@@ -356,6 +360,8 @@
             status = CallStatus.REJECTED
         else:
             status = CallStatus.ERROR
+        if not self.request_written and status is not CallStatus.REJECTED:
+            status = CallStatus.CONNECT_FAILED
         result = AttemptResult(
             status,
             b"".join(self._body_parts),
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -465,6 +465,21 @@
     run(test())
 
 
+def test_response_before_the_whole_request_is_not_forwarded() -> None:
+    # Guards against foreign data: a server starts on a request only when it has its last byte.
+    async def test() -> None:
+        listener, servers = Listener(), Servers(10, 1.0, 30.0)
+        servers.add_or_update(1, listener.address, True)
+        attempt_task = asyncio.create_task(send_and_wait(servers, 1, LARGE_REQUEST))
+        connection = await listener.accept()
+        await asyncio.get_running_loop().sock_recv(connection, 100)
+        connection.send(OK_RESPONSE)
+        assert (await attempt_task).status is CallStatus.CONNECT_FAILED
+        connection.close()
+
+    run(test())
+
+
 def test_request_not_written_whole_by_its_write_deadline_is_given_up() -> None:
     async def test() -> None:
         loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
