Send a second copy just before the last moment for a repeat

Cause: the decision module repeated only after an attempt had ended, though the settings allow second copies.

Change: if the last moment for a repeat comes before an answer is of no more use, a timer is set for 50 ms before it. If the request's only attempt is outstanding then, and its lane has room, a second copy goes to another server that would recognise the repeat. No class whose window is longer than its attempts may take, such as those of the site, is concerned. The answer to a second copy is no latency observation: a server that knows the key answers at once.

The 50 ms are chosen.

--- a/ironstage/interface.py
+++ b/ironstage/interface.py
@@ -136,7 +136,7 @@
     customer's token bucket.
 
     A request gets at most `max_attempts` attempts, including the first. `second_copies` allows an attempt
-    while another one is outstanding (hedging), but the decision module only retries after all have ended.
+    while another one is outstanding (hedging).
     `may_cancel` allows cancelling the outstanding attempts of a request that has its final answer or lost
     its client. `max_retry_after_ms` bounds the advice given with a refusal (0: no advice).
 
--- a/ironstage/policy.py
+++ b/ironstage/policy.py
@@ -13,7 +13,8 @@
   become suspects, which get only occasional trial requests. Servers that started recently are cold and get
   less traffic (slow start).
 - Attempts: a request is sent as a first attempt at one server and, where a repeat is safe, as retries at
-  others. A request may itself be the retry of a client; then it is called a client's retry.
+  others. If the time for repeats ends while an attempt is outstanding, a hedge is sent just before. A request
+  may itself be the retry of a client; then it is called a client's retry.
 """
 
 from __future__ import annotations
@@ -131,6 +132,7 @@
 # --- Constants: retries ---------------------------------------------------------------------------
 # Longest time for which a gateway may be held up between reading its clock and writing a request.
 MAX_WRITE_DELAY_MS = 150.0
+HEDGE_LEAD_MS = 50.0  # before the last moment for a repeat, as a connection may have to be opened
 
 # --- Constants: server health, load and choice ----------------------------------------------------
 # With a larger fraction of the ready servers suspect, the servers are taken to be slow, not unreachable.
@@ -167,6 +169,7 @@
 LOAD_REPORT_VALIDITY_MS = 1500.0
 
 INF = math.inf
+MAX_TIMER_TOKEN = 1 << 32
 
 
 # --- Threshold search (de Waal, Algorithms 3.8 and 3.9) -----------------------------------------
@@ -653,6 +656,7 @@
     sent_ms: float
     is_outstanding: bool = True
     may_have_run: bool = True
+    is_hedge: bool = False  # sent while another attempt was outstanding
 
 
 @dataclass(slots=True)
@@ -1081,6 +1085,8 @@
         self.client_waits_ms: list[deque[float]] = [
             deque(maxlen=CLIENT_WAIT_SAMPLE_COUNT) for _ in settings.classes
         ]
+        self.hedge_timers: dict[int, int] = {}  # request ids by timer token
+        self.last_timer_token = 0
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             api.RequestArrived: self._on_request_arrived,
@@ -1088,6 +1094,7 @@
             api.RequestAbandoned: self._on_request_abandoned,
             api.ServerList: self._on_server_list,
             api.StreamStarted: self._on_stream_started,
+            api.TimerFired: self._on_timer_fired,
         }
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
@@ -1244,7 +1251,15 @@
         return first_possibly_run.sent_ms + request.request_class.window_ms - MAX_WRITE_DELAY_MS
 
     def _may_repeat_at(self, request: Request, server: TrackedServer) -> bool:
-        """Return whether this server would recognise a repeat of each attempt that may have run."""
+        """Return whether this server would recognise a repeat of each attempt that may have run.
+
+        A server with an outstanding attempt gets no second one.
+        """
+        if any(
+            attempt.is_outstanding and attempt.server_entry.id == server.entry.id
+            for attempt in request.attempts
+        ):
+            return False
         return request.request_class.effect is RetrySafety.IDEMPOTENT or all(
             self._in_dedup_scope(request.request_class.dedup_scope, attempt.server_entry, server)
             for attempt in request.attempts
@@ -1292,7 +1307,8 @@
         )
         if server is None:
             return False
-        attempt = Attempt(len(request.attempts), server.entry, now_ms)
+        is_hedge = request.outstanding_count() > 0
+        attempt = Attempt(len(request.attempts), server.entry, now_ms, is_hedge=is_hedge)
         request.attempts.append(attempt)
         server.outstanding_count += 1
         server.slow_start_tokens -= 1.0
@@ -1317,8 +1333,35 @@
         ):
             attempt_deadline_ms = now_ms + time_fraction * (attempt_deadline_ms - now_ms)
         self.actions.append(api.Send(arrival.request_id, server.entry.id, attempt_deadline_ms, write_by_ms))
+        self._schedule_hedge(now_ms, request)
         return True
 
+    def _hedge_ms(self, request: Request) -> float:
+        """Return when the request is hedged if its attempt is still outstanding."""
+        return self._repeat_deadline_ms(request) - HEDGE_LEAD_MS
+
+    def _schedule_hedge(self, now_ms: float, request: Request) -> None:
+        """Set a timer for a hedge if the last moment for a repeat comes while an answer is still of use.
+
+        An attempt that fails after that moment can't be retried any more, so it is hedged just before.
+        """
+        if self.settings.second_copies and now_ms < self._hedge_ms(request) < request.useful_until_ms:
+            self.last_timer_token = (self.last_timer_token + 1) % MAX_TIMER_TOKEN
+            self.hedge_timers[self.last_timer_token] = request.arrival.request_id
+            self.actions.append(api.SetTimer(self._hedge_ms(request) - now_ms, self.last_timer_token))
+
+    def _on_timer_fired(self, now_ms: float, event: api.TimerFired) -> None:
+        """Hedge the request of a timer, unless it is over, was retried meanwhile or its lane is full."""
+        request = self.requests.get(self.hedge_timers.pop(event.token, -1))
+        if (
+            request is not None
+            and request.outstanding_count() == 1
+            and sum(1 for attempt in request.attempts if attempt.may_have_run) == 1
+            and now_ms >= self._hedge_ms(request)
+            and self._lane_headroom(request.lane) >= 1.0
+        ):
+            self._send_attempt(now_ms, request, set())
+
     def _refuse_or_fail(self, now_ms: float, request: Request) -> None:
         """Refuse the request if a client's retry is surely harmless, else fail it.
 
@@ -1413,7 +1456,10 @@
         ):
             request.customer.bucket.level += request.arrival.units - event.charged_units
         # A timeout at a suspect says nothing about the back end's load; elsewhere it is a censored latency.
-        if event.status is CallStatus.OK or (event.status is CallStatus.TIMEOUT and not was_suspect):
+        # The answer to a hedge says nothing: a server that recognises a repeat gives it without the work.
+        if (event.status is CallStatus.OK and not attempt.is_hedge) or (
+            event.status is CallStatus.TIMEOUT and not was_suspect
+        ):
             answered = event.status is CallStatus.OK
             self.latency_window.add(
                 latency.LatencyObservation(now_ms, request.arrival.class_index, event.elapsed_ms, answered)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 import pytest
 from helpers import BASE_SETTINGS, CLASSES, GatewayFixture, action_names, make_server, send_actions
@@ -74,6 +75,65 @@
         assert [retry.write_by_ms for retry in retries] == ([1851.0] if may_repeat else [])
 
 
+def submit_until_hedge_timer(**overrides: Any) -> tuple[GatewayFixture, api.Send, list[api.SetTimer]]:
+    """Send a request at 1 ms whose window, of 2,000 ms, ends 1,000 ms before its aim."""
+    overrides = {"second_copies": True, "may_cancel": True, **overrides}
+    fixture = GatewayFixture([make_server(1, 0), make_server(2, 0), make_server(3, 1)], **overrides)
+    actions = fixture.submit_request(1.0, ZONE_DEDUPLICATED, timeout_ms=9000.0)
+    (sent,) = send_actions(actions)
+    return fixture, sent, [action for action in actions if isinstance(action, api.SetTimer)]
+
+
+def test_hedge_is_sent_just_before_the_last_moment_for_a_repeat() -> None:
+    """An attempt that fails later could not be retried, and the client would get no answer."""
+    fixture, sent, (timer,) = submit_until_hedge_timer()
+    assert timer.delay_ms == 1800.0  # the window, less a hold-up of 150 ms and 50 ms for a connection
+    (hedge,) = send_actions(fixture.gateway.handle(1801.0, api.TimerFired(timer.token)))
+    assert {sent.server_id, hedge.server_id} in ({1, 2}, {3})  # in the zone of the first attempt
+    assert hedge.server_id != sent.server_id and hedge.write_by_ms == 1851.0
+    assert fixture.end_attempt(1900.0, sent, "error") == []  # the answer may still come from the hedge
+    assert fixture.end_attempt(1901.0, hedge, "ok", attempt_number=1) == []
+    assert fixture.gateway.requests == {}
+
+
+def test_first_answer_cancels_the_other_attempt_of_a_hedged_request() -> None:
+    fixture, sent, (timer,) = submit_until_hedge_timer()
+    (hedge,) = send_actions(fixture.gateway.handle(1801.0, api.TimerFired(timer.token)))
+    assert fixture.end_attempt(1810.0, hedge, "ok", attempt_number=1) == [api.Cancel(sent.request_id, 0)]
+
+
+def test_no_hedge_timer_is_set_if_a_repeat_is_possible_to_the_end_or_never() -> None:
+    assert submit_until_hedge_timer(second_copies=False)[2] == []
+    for class_index in (IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE):  # the window is longer than the aim
+        fixture = GatewayFixture(second_copies=True)
+        assert "SetTimer" not in action_names(fixture.submit_request(1.0, class_index))
+
+
+@pytest.mark.parametrize("obstacle", ["answered", "retried", "lane full", "too late", "none"])
+def test_no_hedge_is_sent_if_it_is_needless_or_harmful(obstacle: str) -> None:
+    fixture, sent, (timer,) = submit_until_hedge_timer()
+    now_ms = 1801.0
+    match obstacle:
+        case "answered":
+            fixture.end_attempt(1800.0, sent, "ok")
+        case "retried":
+            assert len(send_actions(fixture.end_attempt(1790.0, sent, "error"))) == 1
+        case "lane full":
+            fixture.gateway.lane_caps = (policy.INF, 0.5)
+        case "too late":
+            now_ms = 1851.1
+    hedges = send_actions(fixture.gateway.handle(now_ms, api.TimerFired(timer.token)))
+    assert len(hedges) == (1 if obstacle == "none" else 0)
+
+
+def test_answer_to_a_hedge_is_no_latency_observation() -> None:
+    """A server that recognises a repeat answers at once, which would make the back end look overloaded."""
+    fixture, _, (timer,) = submit_until_hedge_timer()
+    (hedge,) = send_actions(fixture.gateway.handle(1801.0, api.TimerFired(timer.token)))
+    fixture.end_attempt(1803.0, hedge, "ok", attempt_number=1, elapsed_ms=2.0)
+    assert not fixture.gateway.latency_window.answered_observations()
+
+
 def test_no_hedge_is_sent_without_second_copies() -> None:
     fixture = GatewayFixture()
     (sent,) = send_actions(fixture.submit_request(1.0, IDEMPOTENT))
