--- a/ironstage/latency.py
+++ b/ironstage/latency.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+LOAD_WINDOW_MS = 5000.0  # holds some hundred ended attempts at tens of requests a second
 # Attempts assumed to be answered in time before any observation, so that no class is ever shut out.
 PRIOR_ANSWERED_COUNT = 3.0
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import pytest
 from helpers import BASE_SETTINGS, CLASSES, GatewayFixture, action_names, make_server, send_actions
 
+from ironstage import fleet as fleet_module
 from ironstage import interface as api
 from ironstage import policy
 
@@ -395,7 +396,7 @@
     ]
     mean_requests_per_server, max_flow_factor = (
         len(chosen_ids) / 40,
-        policy.COLD_RULE_BOUND_FRACTION * BASE_SETTINGS.tip_multiple,
+        fleet_module.COLD_RULE_BOUND_FRACTION * BASE_SETTINGS.tip_multiple,
     )
     warm_fraction = fixture.gateway.fleet.warm_fraction(fixture.gateway.fleet.servers[40], 4100.0)
     # Each cold server starts with a random part of a slow start token, half of one on average.
@@ -572,7 +573,7 @@
     early_trial_ids = {
         server_id
         for server_id, server in fleet.servers.items()
-        if server.next_trial_ms <= 5000.0 + 2 * policy.TRIAL_BACKOFF_MS
+        if server.next_trial_ms <= 5000.0 + 2 * fleet_module.TRIAL_BACKOFF_MS
     }
     assert early_trial_ids >= {3, 5, 7} and not early_trial_ids & {2, 4, 6, 8}
 
@@ -585,11 +586,13 @@
     fleet = GatewayFixture([make_server(1)], gateway_count=200).gateway.fleet
     for _ in range(2000):
         fleet.mark_suspect(fleet.servers[1], 1000.0)
-    max_backoff_ms = policy.TRIAL_BACKOFF_MS * policy.TRIAL_BACKOFF_MAX_FACTOR * fleet.gateway_count_factor
+    max_backoff_ms = (
+        fleet_module.TRIAL_BACKOFF_MS * fleet_module.TRIAL_BACKOFF_MAX_FACTOR * fleet.gateway_count_factor
+    )
     assert (
         max_backoff_ms
         <= fleet.servers[1].next_trial_ms - 1000.0
-        <= max_backoff_ms * (1 + policy.MAX_JITTER_FRACTION)
+        <= max_backoff_ms * (1 + fleet_module.MAX_JITTER_FRACTION)
     )
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,9 +11,9 @@
 import pytest
 from helpers import GatewayFixture, send_actions
 
+from ironstage import fleet, policy, quota
 from ironstage import interface as api
-from ironstage import policy
-from ironstage.policy import Customer, MeterClock
+from ironstage.quota import Customer, MeterClock
 
 PLAN = api.Plan(rate=10, burst=20)
 
@@ -199,7 +199,7 @@
     """Beyond the quota, the advice is at least the time until the bucket holds the request's units."""
     fixture = GatewayFixture([], plans=(api.Plan(rate=5, burst=1),), max_retry_after_ms=500)
     [refused] = fixture.submit_request(1.0, customer_id=1)
-    assert isinstance(refused, api.Refuse) and refused.retry_after_ms == policy.INITIAL_MEAN_LATENCY_MS
+    assert isinstance(refused, api.Refuse) and refused.retry_after_ms == fleet.INITIAL_MEAN_LATENCY_MS
     customer = fixture.gateway.customers[1]
     customer.usage_percent, customer.bucket.level = 300, -0.5
     [refused] = fixture.submit_request(1.0, customer_id=1)
@@ -226,11 +226,11 @@
     two_gateway_customer, seven_gateway_customer = (
         Customer(PLAN, gateway_count, 0.0) for gateway_count in (2, 7)
     )
-    prior_units = policy.OTHERS_PRIOR_MIN_UNITS
+    prior_units = quota.OTHERS_PRIOR_MIN_UNITS
     for customer in (two_gateway_customer, seven_gateway_customer):
         traffic_fraction, rate_per_ms = customer.traffic_fraction(), PLAN.rate / 1000.0
         evidence_ms = (
-            prior_units / (policy.OTHERS_PRIOR_USE_RATE_FRACTION * rate_per_ms)
+            prior_units / (quota.OTHERS_PRIOR_USE_RATE_FRACTION * rate_per_ms)
             + traffic_fraction * PLAN.burst / rate_per_ms
         )
         assert customer.predicted_others_use()[1] == pytest.approx(
--- a/tests/test_threshold_search.py
+++ b/tests/test_threshold_search.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from ironstage.policy import MAX_SEARCH_THRESHOLD, j_sums, measures_at_m1_one, optimal_thresholds
+from ironstage.threshold_search import MAX_SEARCH_THRESHOLD, j_sums, measures_at_m1_one, optimal_thresholds
 
 # lambda1 (equal to rho1, as mu1 is 1 here) and the optimal M1 and M2.
 TABLE_1 = [(0.80, 32, 5), (0.85, 23, 5), (0.90, 20, 5), (1.00, 18, 5), (1.20, 16, 5), (1.50, 15, 5)]
