--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -22,7 +22,8 @@
 from ironstage.interface import CallStatus, ServerState
 from ironstage.net.config import Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
-from ironstage.net.servers import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest, Servers
+from ironstage.net.server_connection import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
+from ironstage.net.servers import Servers
 from ironstage.policy import Gateway
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/ironstage/net/server_connection.py
@@ -0,0 +1,362 @@
+"""One connection to a server: HTTP/1.1 attempts, one at a time, and how they end.
+
+Nothing is retried here; `ironstage.policy` decides on retries.
+
+Fields that end in `_s` are seconds; points in time are on the monotonic clock, as the event loop's are.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import re
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from ironstage.interface import CallStatus
+
+if TYPE_CHECKING:
+    from ironstage.net.servers import Server, Servers
+
+log = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+# A connection is reused only so long after its last response: a second copy of that response, which a server
+# may send some milliseconds late, would be taken for the response to the next request.
+DUPLICATE_RESPONSE_WAIT_S = 0.025
+USAGE_PERCENT_PATTERN = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
+# Once a response has begun to arrive, it is invalid if the rest takes longer than this.
+PARTIAL_RESPONSE_TIMEOUT_S = 0.25
+# The loop counts whole milliseconds: timers are set this much later, so as not to expire early.
+TIMER_RESOLUTION_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """The result of an attempt.
+
+    `body` and `content_type` are those of the response. `usage_percent` is the customer's metered use in
+    percent of its rate, or None without a valid reading; `load_report` is the raw load report, if any.
+    """
+
+    status: CallStatus
+    body: bytes = b""
+    content_type: bytes = b""
+    usage_percent: int | None = None
+    load_report: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """An HTTP request to a server.
+
+    `head` is the request line and the headers but Req-Deadline, without the empty line at the end. The server
+    must not run an `at_most_once` request again after a broken attempt. A request that has not been written
+    whole by `write_by_s` is given up.
+    """
+
+    head: bytes
+    body: bytes = b""
+    at_most_once: bool = False
+    write_by_s: float = math.inf
+
+    def message(self, timeout_s: float) -> bytes:
+        """Return the request as it is written; its Req-Deadline tells how long the answer is waited for."""
+        return b"%bReq-Deadline: %.3f\r\n\r\n%b" % (self.head, max(0.0, timeout_s), self.body)
+
+
+class Attempt:
+    """One transmission of an HTTP request to a server; it times out at `deadline_s`.
+
+    If the request has not been written whole by its `write_by_s`, the attempt ends with NOT_SENT. `on_end` is
+    called once, with the result.
+    """
+
+    __slots__ = ("_on_end", "_timers", "connection", "deadline_s", "ended", "request")
+
+    def __init__(
+        self, request: ServerRequest, deadline_s: float, on_end: Callable[[AttemptResult], None]
+    ) -> None:
+        self.request = request
+        self.deadline_s = deadline_s
+        self.connection: ServerConnection | None = None
+        self.ended = False
+        self._on_end = on_end
+        loop = asyncio.get_running_loop()
+        self._timers = [loop.call_at(deadline_s + TIMER_RESOLUTION_S, self._handle_timeout)]
+        if request.write_by_s < deadline_s:
+            self._timers.append(
+                loop.call_at(request.write_by_s + TIMER_RESOLUTION_S, self._handle_write_timeout)
+            )
+
+    def end(self, result: AttemptResult) -> None:
+        """End the attempt and report its result; calls after the first do nothing."""
+        if not self.ended:
+            self.ended = True
+            for timer in self._timers:
+                timer.cancel()
+            self.connection = None
+            self._on_end(result)
+
+    def cancel(self) -> None:
+        """End the attempt with CANCELLED and close its connection."""
+        self._abort(CallStatus.CANCELLED)
+
+    def _is_written(self) -> bool:
+        """Return whether the whole request has been written: a server runs it only with its last byte."""
+        return self.connection is not None and self.connection.request_written
+
+    def _handle_timeout(self) -> None:
+        self._abort(CallStatus.TIMEOUT if self._is_written() else CallStatus.CONNECT_FAILED)
+
+    def _handle_write_timeout(self) -> None:
+        if not self._is_written():
+            self._abort(CallStatus.NOT_SENT)
+
+    def _abort(self, status: CallStatus) -> None:
+        if self.connection:
+            self.connection.close_immediately()
+        self.end(AttemptResult(status))
+
+
+def _parse_usage_percent(raw: bytes) -> int | None:
+    """Return the metered use in percent, or None if the value is not a number in the meter's range."""
+    return round(float(raw)) if USAGE_PERCENT_PATTERN.fullmatch(raw) else None
+
+
+class ServerConnection(asyncio.Protocol):
+    """A connection to a server: carries at most one attempt at a time and parses its response."""
+
+    def __init__(self, servers: Servers, server: Server, sock: socket.socket) -> None:
+        self._servers = servers
+        self._server = server
+        self._sock = sock
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._attempt: Attempt | None = None
+        self._headers: dict[bytes, bytes] = {}
+        self._body_parts: list[bytes] = []
+        self._received_bytes = 0  # of the head, with interim responses; then of the body
+        self._status_code = 0
+        self._head_complete = self._response_complete = self._keep_alive = False
+        self._ends_with_connection = False  # the response has no length: it ends when the server closes
+        self._message_incomplete = False  # a response, interim or final, has been received in part
+        self._partial_response_timer: asyncio.TimerHandle | None = None  # runs while a response is incomplete
+        self.request_written = False  # the whole request has been passed to the kernel
+        self.idle_since_s = 0.0
+        self.min_idle_s = 0.0  # idle time before the next attempt; 0 if there was no response so far
+        self.prior_idle_s = 0.0  # idle time before the current attempt
+        self._nothing_received = True  # no byte received since the current attempt started
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transport is not a subclass of asyncio.Transport.
+        self._transport = cast(asyncio.Transport, transport)
+        # With this limit, resume_writing is called once the last byte has been written.
+        self._transport.set_write_buffer_limits(high=0)
+        self.idle_since_s = monotonic()
+
+    def start(self, attempt: Attempt) -> None:
+        """Send an attempt's request over this connection."""
+        assert self._transport
+        self._attempt, attempt.connection = attempt, self
+        self._headers, self._body_parts, self._received_bytes = {}, [], 0
+        self._head_complete = self._response_complete = self._keep_alive = False
+        self._ends_with_connection = False
+        self._nothing_received = True
+        # The time that it took to get here, as for opening a connection, is not told as left.
+        self._transport.write(attempt.request.message(attempt.deadline_s - monotonic()))
+        # A failed write closes the transport at once; a partial write leaves the rest in its buffer.
+        self.request_written = (
+            not self._transport.is_closing() and not self._transport.get_write_buffer_size()
+        )
+
+    def resume_writing(self) -> None:
+        self.request_written = True
+
+    def is_reusable(self) -> bool:
+        """Return whether the idle connection is open and has no unsolicited data.
+
+        The kernel is asked, as it may hold a close or data that the event loop has not processed yet.
+        """
+        assert self._transport
+        if self._transport.is_closing():
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # closed by the server, or unsolicited data
+
+    def data_received(self, data: bytes) -> None:
+        if self._attempt is None:
+            self.close_immediately()
+            return
+        self._nothing_received = False
+        self._received_bytes += 0 if self._head_complete else len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            # Invalid bytes after a complete response do not affect it, but rule out reuse.
+            self._keep_alive = False
+            if not self._response_complete:
+                self._fail_invalid_response(repr(error))
+                return
+        if self._response_complete:
+            self._finish_attempt()
+        elif self._attempt and not self._head_complete and self._received_bytes > MAX_HEAD_BYTES:
+            self._fail_invalid_response("head too large")
+        elif not self._message_incomplete:
+            self._stop_partial_response_timer()  # an interim response does not tell when the final one begins
+        elif self._attempt and self._partial_response_timer is None:
+            self._partial_response_timer = asyncio.get_running_loop().call_later(
+                PARTIAL_RESPONSE_TIMEOUT_S, self._fail_invalid_response, "timed out before it was complete"
+            )
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._response_complete:
+            self._headers[name.lower()] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        if self._response_complete:
+            return
+        self._head_complete = self._parser.get_status_code() >= 200
+        if self._head_complete:
+            self._received_bytes = 0
+            self._check_body_framing()
+
+    def _check_body_framing(self) -> None:
+        """Determine how the body ends.
+
+        A transfer encoding other than chunked and a Content-Length beyond the maximum are invalid.
+        """
+        length = self._headers.get(b"content-length", b"")
+        encoding = self._headers.get(b"transfer-encoding", b"").lower()
+        self._ends_with_connection = not length and not encoding
+        if encoding not in (b"", b"chunked"):
+            self._fail_invalid_response("unsupported transfer encoding")
+        elif length.isdigit() and int(length[:9]) > MAX_BODY_BYTES:
+            self._fail_invalid_response("body too large")
+
+    def on_body(self, body: bytes) -> None:
+        if self._response_complete or self._attempt is None:
+            return
+        self._received_bytes += len(body)
+        self._body_parts.append(body)
+        if self._received_bytes > MAX_BODY_BYTES:
+            self._fail_invalid_response("body too large")
+
+    def on_message_complete(self) -> None:
+        self._message_incomplete = False
+        if self._head_complete and not self._response_complete and self._attempt:
+            self._complete_response(self._parser.should_keep_alive())
+        elif not self._head_complete:
+            self._headers = {}  # discard those of an interim response
+
+    def _complete_response(self, keep_alive: bool) -> None:
+        self._response_complete, self._status_code = True, self._parser.get_status_code()
+        self._keep_alive = keep_alive
+
+    def eof_received(self) -> None:
+        """Complete a response without a length when the server closes the connection.
+
+        A reset does not lead here, and any other response is incomplete: `connection_lost` ends its attempt.
+        """
+        if self._attempt and self._head_complete and self._ends_with_connection:
+            self._complete_response(keep_alive=False)
+            self._finish_attempt()
+
+    def on_message_begin(self) -> None:
+        self._message_incomplete = True
+        if self._response_complete:  # unsolicited bytes after the response rule out reuse
+            self._keep_alive = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._servers.handle_connection_closed(self._server, self)
+        del self._parser  # breaks a reference cycle that only the garbage collector would free
+        self._handle_connection_loss()
+
+    def close_immediately(self) -> None:
+        """Close at once: the server sees the close before anything that is sent to it from now on.
+
+        The current attempt, if any, is detached but not ended: the caller ends it.
+        """
+        self._attempt = None
+        self._stop_partial_response_timer()
+        if self._transport and not self._transport.is_closing():
+            with contextlib.suppress(OSError):  # already closed by the server
+                self._sock.shutdown(socket.SHUT_RDWR)
+            self._transport.abort()
+
+    def _handle_connection_loss(self) -> None:
+        """End the current attempt, if any, after the connection was lost."""
+        if self._attempt and self._nothing_received:
+            self._servers.record_broken_connection(self.prior_idle_s)
+        self._fail_attempt(CallStatus.RESET)
+
+    def _fail_invalid_response(self, reason: str) -> None:
+        """End the current attempt with ERROR, as its response is invalid.
+
+        The server is alive and may have run the request, but there is no response to forward.
+        """
+        log.warning("invalid response from server %s: %s", self._server.address, reason)
+        self._fail_attempt(CallStatus.ERROR)
+
+    def _fail_attempt(self, status: CallStatus) -> None:
+        """Close the connection and end the current attempt, if any.
+
+        If the request was not sent whole, the server can't have run it: the attempt then ends with
+        CONNECT_FAILED instead of `status`.
+        """
+        attempt, written = self._attempt, self.request_written
+        self._body_parts = []
+        self.close_immediately()
+        if attempt:
+            attempt.end(AttemptResult(status if written else CallStatus.CONNECT_FAILED))
+
+    def _stop_partial_response_timer(self) -> None:
+        if self._partial_response_timer:
+            self._partial_response_timer.cancel()
+            self._partial_response_timer = None
+
+    def _finish_attempt(self) -> None:
+        """End the current attempt with its complete response, and keep the connection if possible.
+
+        A response that arrives before the request was written whole can't be one to it: the server starts on
+        a request when it has the last byte. Only a rejection counts even so.
+        """
+        self._stop_partial_response_timer()
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        if self._status_code == 200:
+            status = CallStatus.OK
+        elif self._status_code in (503, 504) and self._headers.get(b"srv-declined") == b"1":
+            status = CallStatus.REJECTED
+        else:
+            status = CallStatus.ERROR
+        if not self.request_written and status is not CallStatus.REJECTED:
+            status = CallStatus.CONNECT_FAILED
+        result = AttemptResult(
+            status,
+            b"".join(self._body_parts),
+            self._headers.get(b"content-type", b""),
+            _parse_usage_percent(self._headers.get(b"x-ratelimit-used", b"")),
+            self._headers.get(b"srv-load", b""),
+        )
+        self._body_parts = []
+        self.idle_since_s, self.min_idle_s = monotonic(), DUPLICATE_RESPONSE_WAIT_S
+        if self._keep_alive and self.request_written:
+            self._servers.add_idle_connection(self._server, self)
+        else:
+            self.close_immediately()
+        attempt.end(result)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -30,8 +30,10 @@
 )
 
 from ironstage.interface import CallStatus
+from ironstage.net import server_connection as connection_module
 from ironstage.net import servers as servers_module
-from ironstage.net.servers import AttemptResult, ServerRequest, Servers
+from ironstage.net.server_connection import AttemptResult, ServerRequest
+from ironstage.net.servers import Servers
 
 DECLINED_HEADER = "Srv-Declined: 1"
 HOLD_UP_S = 0.15  # the longest for which a limiter is held up between reading its clock and writing
@@ -310,7 +312,7 @@
 
 def test_interim_response_starts_no_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     """An interim response does not tell when the final one begins."""
-    monkeypatch.setattr(servers_module, "PARTIAL_RESPONSE_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(connection_module, "PARTIAL_RESPONSE_TIMEOUT_S", 0.02)
 
     async def test() -> None:
         async def handler(request: ReceivedRequest) -> None:
@@ -520,7 +522,7 @@
 
 def test_reset_of_reused_connection_permits_no_retry(monkeypatch: pytest.MonkeyPatch) -> None:
     """A request on a reused connection that is reset is not sent again: it may have run."""
-    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
+    monkeypatch.setattr(connection_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
 
     async def test() -> None:
         async def handler(request: ReceivedRequest) -> None:
@@ -562,7 +564,7 @@
 ) -> None:
     """A second copy of a response that arrives after the next request was sent is not taken for its own."""
     # Guards against clients that get 200 with the response to another customer's request.
-    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.5)
+    monkeypatch.setattr(connection_module, "DUPLICATE_RESPONSE_WAIT_S", 0.5)
     monkeypatch.setattr(servers_module, "SAFE_REUSE_IDLE_S", 10.0)
 
     async def test() -> None:
@@ -694,7 +696,7 @@
 
 def test_usage_and_load_report_are_read_from_headers(monkeypatch: pytest.MonkeyPatch) -> None:
     """The result holds the metered use and the load report; an invalid use counts as no reading."""
-    monkeypatch.setattr(servers_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
+    monkeypatch.setattr(connection_module, "DUPLICATE_RESPONSE_WAIT_S", 0.0)
 
     async def test() -> None:
         headers = iter(
@@ -803,7 +805,7 @@
     [
         ("fix", servers_module.SAFE_REUSE_IDLE_S, [1, 2]),  # can't be retried after a reset
         ("read", -1.0, [1, 2]),  # a duplicate of the first response may still be on its way
-        ("read", servers_module.DUPLICATE_RESPONSE_WAIT_S, [1, 1]),
+        ("read", connection_module.DUPLICATE_RESPONSE_WAIT_S, [1, 1]),
         ("read", servers_module.SAFE_REUSE_IDLE_S, [1, 1]),
         ("read", 14.0, [1, 1]),
         ("read", 15.0, [1, 2]),  # half of the servers' idle timeout of 30 s
