Refuse a request that may have run only if the advised retry keeps to its window

PROTOCOL says of a refusal that "trying again is harmless".

Cause: Gateway._refuse_or_fail looked at the scope, not at the window. Change: it refuses only if a repeat at the advised time keeps to the last moment for a repeat, and fails the request otherwise. The new test failed before (one of its two cases: Refuse in place of Fail). Classes that only a cell or a zone deduplicates, as on the site, and requests that never ran are answered as before.

--- a/ironstage/policy.py
+++ b/ironstage/policy.py
@@ -449,27 +449,24 @@
     def _refuse_or_fail(self, now_ms: float, request: Request) -> None:
         """Refuse the request if a client's retry is surely harmless, else fail it.
 
-        No other method refuses or fails a request.
+        A repeat at the advised time has to be recognised by the server that gets it. No other method refuses
+        or fails a request.
         """
         if not request.is_open or request.streaming:
             return
         may_have_run = any(attempt.may_have_run for attempt in request.attempts)
-        deduplicated_everywhere = (
+        retry_after_ms = self._retry_after_ms(now_ms, request)
+        retry_is_recognised = (
             request.request_class.effect is RetrySafety.DEDUPLICATED
             and request.request_class.dedup_scope is DedupScope.ALL
+            and now_ms + retry_after_ms <= self._repeat_deadline_ms(request)
         )
         retry_is_harmless = (
-            not may_have_run
-            or request.request_class.effect is RetrySafety.IDEMPOTENT
-            or deduplicated_everywhere
+            not may_have_run or request.request_class.effect is RetrySafety.IDEMPOTENT or retry_is_recognised
         )
         may_refuse = retry_is_harmless and not (may_have_run and now_ms >= request.useful_until_ms)
         request_id, request.is_open = request.arrival.request_id, False
-        self.actions.append(
-            api.Refuse(request_id, self._retry_after_ms(now_ms, request))
-            if may_refuse
-            else api.Fail(request_id)
-        )
+        self.actions.append(api.Refuse(request_id, retry_after_ms) if may_refuse else api.Fail(request_id))
         self._remove_if_finished(request)
 
     def _retry_after_ms(self, now_ms: float, request: Request) -> float:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,10 +7,19 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import Any
 
 import pytest
-from helpers import BASE_SETTINGS, CLASSES, GatewayFixture, action_names, make_server, send_actions
+from helpers import (
+    BASE_SETTINGS,
+    CLASSES,
+    ZONE_DEDUPLICATED_CLASS,
+    GatewayFixture,
+    action_names,
+    make_server,
+    send_actions,
+)
 
 from ironstage import fleet as fleet_module
 from ironstage import interface as api
@@ -76,6 +85,17 @@
         assert [retry.write_by_ms for retry in retries] == ([1851.0] if may_repeat else [])
 
 
+@pytest.mark.parametrize(("now_ms", "final_answer"), [(1651.0, "Refuse"), (1651.1, "Fail")])
+def test_client_is_advised_to_retry_only_within_the_window(now_ms: float, final_answer: str) -> None:
+    """A refusal says that a retry is harmless: one at the advised time, 200 ms later, must be recognised."""
+    # Guards against payments that a client's retry applies again, after the servers have forgotten the key.
+    classes = [replace(ZONE_DEDUPLICATED_CLASS, dedup_scope=api.DedupScope.ALL)]
+    fixture = GatewayFixture([make_server(1)], classes=tuple(classes), max_retry_after_ms=200)
+    (sent,) = send_actions(fixture.submit_request(1.0, 0, timeout_ms=9000.0))
+    actions = fixture.end_attempt(now_ms, sent, "timeout", elapsed_ms=now_ms - 1.0)
+    assert action_names(actions) == [final_answer]
+
+
 def submit_until_hedge_timer(**overrides: Any) -> tuple[GatewayFixture, api.Send, list[api.SetTimer]]:
     """Send a request at 1 ms whose window, of 2,000 ms, ends 1,000 ms before its aim."""
     overrides = {"second_copies": True, "may_cancel": True, **overrides}
