Divide the update of the thresholds into one function for each step

_update_thresholds had 125 lines: it trimmed the windows, judged answer loss, weighted observations, split the utilization and set the caps. Each step is now a method of its own.

--- a/ironstage/policy.py
+++ b/ironstage/policy.py
@@ -590,31 +590,71 @@
 
     def _update_thresholds(self, now_ms: float) -> None:
         """Estimate the utilization from the load window and set the lane caps by the threshold search."""
+        self._trim_load_window(now_ms)
+        tightest_aim_ms = min(
+            request_class.aim_ms
+            for request_class, lane in zip(self.settings.classes, self.lane_of_class, strict=True)
+            if lane == 0
+        )
+        self._update_answer_loss(now_ms, tightest_aim_ms)
+        ended_observations = (
+            self.latency_window.answered_observations()
+            if self.heavy_answer_loss
+            else list(self.latency_window.observations)
+        )
+        load_observations = (
+            ended_observations
+            if self.heavy_answer_loss
+            else ended_observations + self._outstanding_observations(now_ms)
+        )
+        self._update_answer_time_distributions(now_ms, load_observations)
+        weighted_by_lane = self._weight_by_lane(load_observations)
+        weighted_both_lanes = sorted(weighted_by_lane[0] + weighted_by_lane[1])
+        if weighted_both_lanes:
+            self.fleet.mean_latency_ms = max(1.0, latency.weighted_mean_ms(weighted_both_lanes))
+        if len(ended_observations) < MIN_OBSERVATION_COUNT or not weighted_by_lane[0]:
+            return
+        light_latency_ms = [
+            self._update_light_load_latency(index, lane) for index, lane in enumerate(weighted_by_lane)
+        ]
+        # In the queueing model, the mean latency is the light-load latency divided by (1 - utilization).
+        utilization = (
+            1.0 - self._update_light_load_latency(2, weighted_both_lanes) / self.fleet.mean_latency_ms
+        )
+        rho = self._split_utilization(utilization, light_latency_ms)
+        if rho is None:
+            return
+        max_sojourn = MEAN_LATENCY_BOUND_AIM_FRACTION * tightest_aim_ms / light_latency_ms[0]
+        # The first feasible pair is the one for the highest floor of lane two.
+        candidates = (
+            optimal_thresholds(rho[0], rho[1], max_sojourn, min_fraction)
+            for min_fraction in LANE_TWO_FLOOR_FRACTIONS
+        )
+        best_thresholds = next((candidate for candidate in candidates if candidate is not None), None)
+        if best_thresholds is not None:
+            self._set_lane_caps(now_ms, best_thresholds, utilization)
+
+    def _trim_load_window(self, now_ms: float) -> None:
+        """Remove ended attempts and admitted arrivals that are too old to tell the present load."""
         self.latency_window.trim(now_ms)
-        arrivals, lane_of_class = self.admitted_arrivals, self.lane_of_class
+        arrivals = self.admitted_arrivals
         while arrivals and arrivals[0][0] < now_ms - (
             LOAD_WINDOW_MS if len(arrivals) > MIN_OBSERVATION_COUNT else MAX_OBSERVATION_AGE_MS
         ):
             arrivals.popleft()
-        tightest_aim_ms = min(
-            request_class.aim_ms
-            for request_class, lane in zip(self.settings.classes, lane_of_class, strict=True)
-            if lane == 0
-        )
-        # Timeouts are taken for lost answers, not for overload, if the other answers come quickly. Lost
-        # answers are no sign of load and are worth a retry; the same holds for unreachable servers. The
-        # drawback: in an overload where only one class times out, the retries add to it. A timeout after a
-        # shorter wait than most answers need is evidence of neither.
-        timed_out = self.latency_window.censored_observations()
+
+    def _update_answer_loss(self, now_ms: float, tightest_aim_ms: float) -> None:
+        """Decide whether many or some answers are being lost.
+
+        Timeouts are taken for lost answers, not for overload, if the other answers come quickly. Lost answers
+        are no sign of load and are worth a retry; the same holds for unreachable servers. The drawback: in an
+        overload where only one class times out, the retries add to it. A timeout after a shorter wait than
+        most answers need is evidence of neither.
+        """
         answer_times_ms = sorted(
             observed.elapsed_ms for observed in self.latency_window.answered_observations()
         )
-        min_wait_ms = (
-            answer_times_ms[int(len(answer_times_ms) * ANSWER_LOSS_MIN_WAIT_QUANTILE)]
-            if answer_times_ms
-            else 0.0
-        )
-        lost_count = sum(1 for observed in timed_out if observed.elapsed_ms >= min_wait_ms)
+        lost_count = self._count_lost_answers(answer_times_ms)
         many_lost = lost_count > HEAVY_LOSS_MIN_ATTEMPT_FRACTION * (lost_count + len(answer_times_ms))
         # Servers that reject requests are overloaded.
         no_rejections = self.last_rejection_ms < now_ms - LOAD_WINDOW_MS
@@ -622,10 +662,8 @@
             len(answer_times_ms) > 3
             and answer_times_ms[len(answer_times_ms) * 3 // 4] < FAST_ANSWER_AIM_FRACTION * tightest_aim_ms
         )
-        was_heavy_loss, self.heavy_answer_loss = (
-            self.heavy_answer_loss,
-            no_rejections and many_lost and answers_are_fast,
-        )
+        was_heavy_loss = self.heavy_answer_loss
+        self.heavy_answer_loss = no_rejections and many_lost and answers_are_fast
         # An answer counts as late if an attempt with the timeout for light losses would have missed it.
         late_count = sum(
             1
@@ -645,20 +683,23 @@
                     f"answers arrive, {len(answer_times_ms)} attempts were answered"
                 )
             )
-        observed = (
-            self.latency_window.answered_observations()
-            if self.heavy_answer_loss
-            else list(self.latency_window.observations)
-        )
-        load_observations = (
-            observed if self.heavy_answer_loss else observed + self._outstanding_observations(now_ms)
+
+    def _count_lost_answers(self, answer_times_ms: list[float]) -> int:
+        """Return how many attempts timed out after a wait in which most of these sorted answers arrive."""
+        min_wait_ms = (
+            answer_times_ms[int(len(answer_times_ms) * ANSWER_LOSS_MIN_WAIT_QUANTILE)]
+            if answer_times_ms
+            else 0.0
         )
-        observations_by_lane: list[list[tuple[float, bool]]] = [[], []]
-        observations_by_class: list[list[tuple[float, bool]]] = [[] for _ in self.answer_time_distributions]
-        for observation in load_observations:
-            observations_by_lane[lane_of_class[observation.class_index]].append(
-                (observation.elapsed_ms, observation.answered)
-            )
+        timed_out = self.latency_window.censored_observations()
+        return sum(1 for observed in timed_out if observed.elapsed_ms >= min_wait_ms)
+
+    def _update_answer_time_distributions(
+        self, now_ms: float, observations: list[latency.LatencyObservation]
+    ) -> None:
+        """Derive the distribution of each class's answer times from the observations within the window."""
+        observations_by_class: list[list[tuple[float, bool]]] = [[] for _ in self.settings.classes]
+        for observation in observations:
             if observation.ended_ms >= now_ms - LOAD_WINDOW_MS:
                 observations_by_class[observation.class_index].append(
                     (observation.elapsed_ms, observation.answered)
@@ -666,41 +707,33 @@
         self.answer_time_distributions = [
             latency.AnswerTimeDistribution(elapsed_pairs) for elapsed_pairs in observations_by_class
         ]
-        weighted_by_lane = [
-            latency.kaplan_meier_weights(elapsed_pairs) for elapsed_pairs in observations_by_lane
-        ]
-        weighted_both_lanes = sorted(weighted_by_lane[0] + weighted_by_lane[1])
-        if weighted_both_lanes:
-            self.fleet.mean_latency_ms = max(1.0, latency.weighted_mean_ms(weighted_both_lanes))
-        if len(observed) < MIN_OBSERVATION_COUNT or not weighted_by_lane[0]:
-            return
-        light_latency_ms = [
-            self._update_light_load_latency(index, lane) for index, lane in enumerate(weighted_by_lane)
-        ]
-        # In the queueing model, the mean latency is the light-load latency divided by (1 - utilization).
-        utilization = (
-            1.0 - self._update_light_load_latency(2, weighted_both_lanes) / self.fleet.mean_latency_ms
-        )
+
+    def _weight_by_lane(
+        self, observations: list[latency.LatencyObservation]
+    ) -> list[list[tuple[float, float, bool]]]:
+        """Return the weighted observations of each lane, with censored ones redistributed."""
+        observations_by_lane: list[list[tuple[float, bool]]] = [[], []]
+        for observation in observations:
+            observations_by_lane[self.lane_of_class[observation.class_index]].append(
+                (observation.elapsed_ms, observation.answered)
+            )
+        return [latency.kaplan_meier_weights(elapsed_pairs) for elapsed_pairs in observations_by_lane]
+
+    def _split_utilization(self, utilization: float, light_latency_ms: list[float]) -> list[float] | None:
+        """Return each lane's part of the utilization, by its arrivals and light-load latency.
+
+        None if there is no load to split, or nothing known of lane one.
+        """
         arrival_counts = [
             sum(1 for _, lane, _ in self.admitted_arrivals if lane == index) for index in (0, 1)
         ]
         work_by_lane = [arrival_counts[index] * light_latency_ms[index] for index in (0, 1)]
         if utilization <= 0 or sum(work_by_lane) <= 0 or light_latency_ms[0] <= 0:
-            return
-        rho = [utilization * lane_work / sum(work_by_lane) for lane_work in work_by_lane]
-        # The first feasible pair is the one for the highest floor of lane two.
-        candidates = (
-            optimal_thresholds(
-                rho[0],
-                rho[1],
-                MEAN_LATENCY_BOUND_AIM_FRACTION * tightest_aim_ms / light_latency_ms[0],
-                min_fraction,
-            )
-            for min_fraction in LANE_TWO_FLOOR_FRACTIONS
-        )
-        best_thresholds = next((candidate for candidate in candidates if candidate is not None), None)
-        if best_thresholds is None:
-            return
+            return None
+        return [utilization * lane_work / sum(work_by_lane) for lane_work in work_by_lane]
+
+    def _set_lane_caps(self, now_ms: float, thresholds: tuple[float, float], utilization: float) -> None:
+        """Set the lane caps to these thresholds of the model, scaled to the requests that occupy slots."""
         # Corrects the moving average for its start at 0, which would keep it and the caps low for seconds.
         averaged_fraction = 1.0 - math.exp((self.first_arrival_ms - now_ms) / LOAD_WINDOW_MS)
         # The model holds utilization / (1 - utilization) requests on average. Its thresholds are scaled by
@@ -709,8 +742,8 @@
             1e-3, sum(self.mean_occupied_slots) / averaged_fraction * (1.0 - utilization) / utilization
         )
         lane_caps = (
-            max(MIN_LANE_CAP_REQUESTS, best_thresholds[0] * requests_per_model_request),
-            max(MIN_LANE_CAP_REQUESTS, best_thresholds[1] * requests_per_model_request),
+            max(MIN_LANE_CAP_REQUESTS, thresholds[0] * requests_per_model_request),
+            max(MIN_LANE_CAP_REQUESTS, thresholds[1] * requests_per_model_request),
         )
         if (min(lane_caps) < INF) != (min(self.lane_caps) < INF):
             self.actions.append(
