Let requests wait for a resting connection at the limit, and rest connections for 15 ms

Cause: a request that found only resting connections opened a new one, and at the limit that closes the connection idle for longest, which another request could have used a moment later.

Change: at the limit such a request waits for the rest to be over, as an at-most-once request does. The new test failed before (3 connections for three requests in a row).

--- a/ironstage/net/server_connection.py
+++ b/ironstage/net/server_connection.py
@@ -31,7 +31,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 # A connection is reused only so long after its last response: a second copy of that response, which a server
 # may send some milliseconds late, would be taken for the response to the next request.
-DUPLICATE_RESPONSE_WAIT_S = 0.025
+DUPLICATE_RESPONSE_WAIT_S = 0.015
 USAGE_PERCENT_PATTERN = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
 # Once a response has begun to arrive, it is invalid if the rest takes longer than this.
 PARTIAL_RESPONSE_TIMEOUT_S = 0.25
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -93,6 +93,7 @@
         An `at_most_once` request reuses a connection only within SAFE_REUSE_IDLE_S: the server might be
         closing one that has been idle for longer, and the request can't be retried after a reset. So it
         waits for a connection that was used just before, where other requests use an older one or a new one.
+        At the limit on connections all requests wait so: a new one would close one that others can reuse.
         """
         attempt = Attempt(request, deadline_s, on_end)
         server = self._servers[server_id]
@@ -100,9 +101,10 @@
         if connection := self._take_idle_connection(server, max_idle_s):
             connection.start(attempt)
             return attempt
-        resting_connection = self._take_resting_connection(server) if request.at_most_once else None
+        must_wait = request.at_most_once or self._open_connection_count >= self._max_connections
+        resting_connection = self._take_resting_connection(server) if must_wait else None
         coroutine = (
-            self._start_after_rest(server, attempt, resting_connection)
+            self._start_after_rest(server, attempt, resting_connection, max_idle_s)
             if resting_connection
             else self._connect(server, attempt)
         )
@@ -139,8 +141,14 @@
                 return server.idle_connections.pop(index)
         return None
 
-    async def _start_after_rest(self, server: Server, attempt: Attempt, connection: ServerConnection) -> None:
-        """Start an attempt over a connection that may not be reused yet; if it breaks, over a new one."""
+    async def _start_after_rest(
+        self, server: Server, attempt: Attempt, connection: ServerConnection, max_idle_s: float
+    ) -> None:
+        """Start an attempt over a connection that may not be reused yet, or else over a new one.
+
+        The latter happens if the connection breaks, or if the wait takes until it has been idle for longer
+        than `max_idle_s`.
+        """
         address = server.address
         try:
             await asyncio.sleep(
@@ -150,7 +158,7 @@
             connection.close_immediately()
             raise
         connection.prior_idle_s = monotonic() - connection.idle_since_s
-        if connection.prior_idle_s > SAFE_REUSE_IDLE_S or not connection.is_reusable():
+        if connection.prior_idle_s > max_idle_s or not connection.is_reusable():
             connection.close_immediately()
             if not attempt.ended:
                 await self._connect(server, attempt)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -607,6 +607,24 @@
     run(test())
 
 
+def test_request_at_the_connection_limit_waits_for_a_resting_connection() -> None:
+    """A new connection would take the place of one that can be reused a moment later."""
+
+    async def test() -> None:
+        async def handler(request: ReceivedRequest) -> None:
+            request.reply()
+
+        async with backend(handler) as server:
+            servers = Servers(1, 1.0, 30.0)
+            host, port = server.address.split(":")
+            servers.add_or_update(1, (host, int(port)), True)
+            for _ in range(3):
+                assert (await send_and_wait(servers, 1, REQUEST)).status is CallStatus.OK
+            assert server.connection_count == 1
+
+    run(test())
+
+
 @pytest.mark.parametrize("server_drains", [False, True])
 def test_connection_that_a_cancelled_attempt_waited_for(server_drains: bool) -> None:
     """It is kept for the next request, unless the server takes none any more; nothing is sent on it."""
