--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -16,6 +16,7 @@
 
 import pytest
 from sockets import (
+    SETTINGS,
     Backend,
     ReceivedRequest,
     backend,
@@ -29,6 +30,7 @@
     wait_until,
 )
 
+from ironstage import policy
 from ironstage.interface import CallStatus
 from ironstage.net import server_connection as connection_module
 from ironstage.net import servers as servers_module
@@ -447,6 +449,45 @@
     run(test())
 
 
+def test_hedge_answers_a_request_whose_attempt_fails_too_late_for_a_repeat(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against payments that fail because their repeat would come too close to the window's end.
+    monkeypatch.setattr(policy, "HEDGE_LEAD_MS", 500.0)  # a busy machine may take long to open a connection
+
+    async def test() -> None:
+        arrival_times_s: list[float] = []
+
+        async def handler(request: ReceivedRequest) -> None:
+            arrival_times_s.append(time.monotonic())
+            if len(arrival_times_s) == 1:
+                await asyncio.sleep(0.95 * DEDUPLICATION_WINDOW_S)
+                request.reply("500 Internal Server Error")
+            else:
+                request.reply(body=b"recognised")
+
+        upload_class = {"effect": "deduplicated", "name": "upload", "aimMs": 1e5, "hardLimitMs": 1e5}
+        settings = {
+            "services": [{**upload_class, "windowMs": DEDUPLICATION_WINDOW_S * 1000}],
+            "ceilings": {**SETTINGS["ceilings"], "secondCopies": True},
+        }
+        async with (
+            backend(handler) as server_a,
+            backend(handler) as server_b,
+            running_limiter(
+                host_entry("a", server_a.address), host_entry("b", server_b.address), settings=settings
+            ) as fixture,
+        ):
+            client = await fixture.connect()
+            response = await client.request(build_request("upload"))
+            assert (response.status_code, response.body) == (200, b"recognised")
+            first_s, hedge_s = arrival_times_s
+            assert hedge_s - first_s <= DEDUPLICATION_WINDOW_S + TIME_LIMIT_SLACK_S
+            assert (len(server_a.requests), len(server_b.requests)) == (1, 1)
+
+    run(test())
+
+
 def test_request_held_up_past_its_write_deadline_is_not_sent() -> None:
     """The attempt ends with NOT_SENT, nothing is written, and the connection is kept for the next request."""
 
