--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
 """A server whose answers never end: does the limiter stay within its memory limit?
 
 One of eight servers answers each request with a chunked answer whose last field never ends, at full speed.
-The others take 100 ms. Sound clients ask 60 times a second for something that may be repeated.
+The others take 100 ms. Sound clients ask 99 times a second for something that may be repeated.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 )
 
 MEMORY_MB = 64  # "32 to 192 MB depending on language and day"
-REQUESTS_PER_S = 60
+REQUESTS_PER_S = 99
 PLAY_S = 8.0
 START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Note: "
 
