--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -12,6 +12,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import struct
 import sys
@@ -373,6 +374,7 @@
     def __init__(self, record: Record, folder: Path, discovery: Discovery, settings: dict[str, Any]) -> None:
         self.record, self.folder, self.discovery, self.settings = record, folder, discovery, settings
         self.memory_mb, self.sockets, self.name = 192, 1024, "n0"
+        self.seed = "8c1f30d27a5be964"
         self.process: asyncio.subprocess.Process | None = None
         self.host, self.port = "127.0.0.1", 0
 
@@ -387,7 +389,7 @@
                     "name": self.name,
                     "listen": f"{self.host}:{self.port}",
                     "discovery": self.discovery.dial,
-                    "seed": "8c1f30d27a5be964",
+                    "seed": self.seed,
                     "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
                     "counter": "127.0.0.1:1",
                     "known": self.discovery.whole_list(),
@@ -458,6 +460,8 @@
         async with asyncio.timeout(CASE_TIMEOUT_S):
             return await case(record, folder)
 
+    # So that a case that is told to end still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         record.line(f"the case runs {'with' if TROUBLE else 'without'} its disruption")
         broken = asyncio.run(bounded())
