Bound what a server's response holds beside its body, and its share of a loop's turn

Only heads and bodies were counted, trailers and chunk extensions were not, and the event loop read up to 32 times 256 KiB from one connection in a turn, which the parser copied anew each time.

--- a/ironstage/net/server_connection.py
+++ b/ironstage/net/server_connection.py
@@ -16,11 +16,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import httptools
 
 from ironstage.interface import CallStatus
+from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader
 
 if TYPE_CHECKING:
     from ironstage.net.servers import Server, Servers
@@ -28,7 +29,20 @@
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
+# Of a response's head with the interim responses before it, and of all that comes between two pieces of a
+# body or after the last one: chunk extensions and trailer fields.
+MAX_FRAMING_BYTES = 16 * 1024
+# The only header fields that are used; no others are kept.
+KEPT_HEADERS = frozenset(
+    [
+        b"content-length",
+        b"content-type",
+        b"srv-declined",
+        b"srv-load",
+        b"transfer-encoding",
+        b"x-ratelimit-used",
+    ]
+)
 # A connection is reused only so long after its last response: a second copy of that response, which a server
 # may send some milliseconds late, would be taken for the response to the next request.
 DUPLICATE_RESPONSE_WAIT_S = 0.015
@@ -132,19 +146,19 @@
     return round(float(raw)) if USAGE_PERCENT_PATTERN.fullmatch(raw) else None
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(PacedReader):
     """A connection to a server: carries at most one attempt at a time and parses its response."""
 
     def __init__(self, servers: Servers, server: Server, sock: socket.socket) -> None:
+        super().__init__()
         self._servers = servers
         self._server = server
         self._sock = sock
         self._parser = httptools.HttpResponseParser(self)
-        self._transport: asyncio.Transport | None = None
         self._attempt: Attempt | None = None
         self._headers: dict[bytes, bytes] = {}
-        self._body_parts: list[bytes] = []
-        self._received_bytes = 0  # of the head, with interim responses; then of the body
+        self._body = bytearray()
+        self._framing_bytes = 0  # received since the start of the response, or since a piece of its body
         self._status_code = 0
         self._head_complete = self._response_complete = self._keep_alive = False
         self._ends_with_connection = False  # the response has no length: it ends when the server closes
@@ -157,8 +171,8 @@
         self._nothing_received = True  # no byte received since the current attempt started
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # uvloop's transport is not a subclass of asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
+        assert self._transport
         # With this limit, resume_writing is called once the last byte has been written.
         self._transport.set_write_buffer_limits(high=0)
         self.idle_since_s = monotonic()
@@ -167,7 +181,7 @@
         """Send an attempt's request over this connection."""
         assert self._transport
         self._attempt, attempt.connection = attempt, self
-        self._headers, self._body_parts, self._received_bytes = {}, [], 0
+        self._headers, self._body, self._framing_bytes = {}, bytearray(), 0
         self._head_complete = self._response_complete = self._keep_alive = False
         self._ends_with_connection = False
         self._nothing_received = True
@@ -197,14 +211,22 @@
             return False
         return False  # closed by the server, or unsolicited data
 
-    def data_received(self, data: bytes) -> None:
+    def bulk_bytes(self) -> int:
+        """Return how much is missing of a body with a length."""
+        if not self._head_complete or b"content-length" not in self._headers:
+            return 0
+        length = self._headers[b"content-length"]
+        return int(length) - len(self._body) if length.isdigit() else 0
+
+    def parse_piece(self, piece: memoryview) -> None:
+        """Parse a piece of the response; end the attempt if that completes it or shows that it is invalid."""
         if self._attempt is None:
             self.close_immediately()
             return
         self._nothing_received = False
-        self._received_bytes += 0 if self._head_complete else len(data)
+        self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserError as error:
             # Invalid bytes after a complete response do not affect it, but rule out reuse.
             self._keep_alive = False
@@ -212,10 +234,14 @@
                 self._fail_invalid_response(repr(error))
                 return
         if self._response_complete:
+            self._keep_alive = self._keep_alive and not self._more_received
             self._finish_attempt()
-        elif self._attempt and not self._head_complete and self._received_bytes > MAX_HEAD_BYTES:
-            self._fail_invalid_response("head too large")
-        elif not self._message_incomplete:
+        elif self._attempt and self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail_invalid_response("head or trailer too large")
+
+    def finish_turn(self) -> None:
+        """Bound the time for the rest of a response that has begun to arrive."""
+        if not self._message_incomplete:
             self._stop_partial_response_timer()  # an interim response does not tell when the final one begins
         elif self._attempt and self._partial_response_timer is None:
             self._partial_response_timer = asyncio.get_running_loop().call_later(
@@ -223,15 +249,17 @@
             )
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._response_complete:
-            self._headers[name.lower()] = value.strip()
+        self.count_work()
+        name = name.lower()
+        if name in KEPT_HEADERS and not self._head_complete:  # a trailer field is no header
+            self._headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
         if self._response_complete:
             return
         self._head_complete = self._parser.get_status_code() >= 200
         if self._head_complete:
-            self._received_bytes = 0
+            self._framing_bytes = 0
             self._check_body_framing()
 
     def _check_body_framing(self) -> None:
@@ -248,14 +276,16 @@
             self._fail_invalid_response("body too large")
 
     def on_body(self, body: bytes) -> None:
+        self.count_work()
         if self._response_complete or self._attempt is None:
             return
-        self._received_bytes += len(body)
-        self._body_parts.append(body)
-        if self._received_bytes > MAX_BODY_BYTES:
+        self._framing_bytes = 0
+        self._body += body
+        if len(self._body) > MAX_BODY_BYTES:
             self._fail_invalid_response("body too large")
 
     def on_message_complete(self) -> None:
+        self.count_work(MESSAGE_WORK)
         self._message_incomplete = False
         if self._head_complete and not self._response_complete and self._attempt:
             self._complete_response(self._parser.should_keep_alive())
@@ -318,7 +348,7 @@
         CONNECT_FAILED instead of `status`.
         """
         attempt, written = self._attempt, self.request_written
-        self._body_parts = []
+        self._body = bytearray()
         self.close_immediately()
         if attempt:
             attempt.end(AttemptResult(status if written else CallStatus.CONNECT_FAILED))
@@ -348,12 +378,12 @@
             status = CallStatus.CONNECT_FAILED
         result = AttemptResult(
             status,
-            b"".join(self._body_parts),
+            bytes(self._body),
             self._headers.get(b"content-type", b""),
             _parse_usage_percent(self._headers.get(b"x-ratelimit-used", b"")),
             self._headers.get(b"srv-load", b""),
         )
-        self._body_parts = []
+        self._body = bytearray()
         self.idle_since_s, self.min_idle_s = monotonic(), DUPLICATE_RESPONSE_WAIT_S
         if self._keep_alive and self.request_written:
             self._servers.add_idle_connection(self._server, self)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,102 +5,32 @@
 import asyncio
 import contextlib
 import json
-import os
 import resource
 import signal
-import sys
-from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
+from limiter_process import running_process
 from sockets import (
     SETTINGS,
-    Client,
     ReceivedRequest,
     backend,
     build_request,
     discovery_agent,
     host_entry,
-    host_list,
     run,
-    unused_address,
     wait_until,
 )
 
 from ironstage.net.config import ConfigError, load
 
-ROOT = Path(__file__).parent.parent
-
 
 async def echo_request_id(request: ReceivedRequest) -> None:
     """Answer a request with its Req-Id as the body."""
     request.reply(body=request.headers["req-id"].encode())
 
 
-class LimiterProcess:
-    """A running limiter process, its address and its configuration file."""
-
-    def __init__(self, process: asyncio.subprocess.Process, address: str, config_path: Path) -> None:
-        self.process = process
-        self.host, port = address.split(":")
-        self.config_path = config_path
-        self.port = int(port)
-
-    async def connect(self) -> Client:
-        """Open a client connection to the limiter."""
-        return Client(*await asyncio.open_connection(self.host, self.port))
-
-    async def wait_ready(self) -> None:
-        """Wait until the limiter accepts connections and has a ready server."""
-        while True:
-            with contextlib.suppress(ConnectionError):
-                client = await self.connect()
-                response = await client.request(b"GET /up HTTP/1.1\r\n\r\n")
-                client.close()
-                if response.status_code == 200:
-                    return
-            await asyncio.sleep(0.02)
-
-
-@contextlib.asynccontextmanager
-async def running_process(
-    directory: Path, *hosts: dict[str, Any], before_exec: Callable[[], None] | None = None
-) -> AsyncIterator[LimiterProcess]:
-    """Run a limiter process with these hosts in its host list; `directory` holds its files.
-
-    The process writes its log to the file "log" there; `before_exec` runs in the new process first.
-    """
-    address, config_path = unused_address(), directory / "config.json"
-    config: dict[str, Any] = {
-        "name": "n3",
-        "listen": address,
-        "discovery": unused_address(),
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": host_list(1, *hosts),
-        "settings": SETTINGS,
-    }
-    config_path.write_text(json.dumps(config))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "ironstage",
-        cwd=ROOT,
-        env={**os.environ, "GW_CONFIG": str(config_path), "GW_DISCOVERY": config["discovery"]},
-        preexec_fn=before_exec,
-        stderr=(directory / "log").open("wb"),
-    )
-    limiter = LimiterProcess(process, address, config_path)
-    try:
-        await limiter.wait_ready()
-        yield limiter
-    finally:
-        with contextlib.suppress(ProcessLookupError):
-            process.kill()
-        await process.wait()
-
-
 @pytest.mark.parametrize("stop_signal", [signal.SIGTERM, signal.SIGINT])
 def test_stop_signal_finishes_open_requests_before_exit(tmp_path: Path, stop_signal: signal.Signals) -> None:
     """A stop signal must not lose requests that are open, partly received or sent on late connections.
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -182,6 +182,7 @@
     run(test())
 
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 INVALID_RESPONSES = {
     "not HTTP": b"\x00\x01\x02 nonsense\r\n\r\n",
     "invalid status code": b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -194,6 +195,9 @@
     "incomplete body": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
     "head too large": b"HTTP/1.1 200 OK\r\n" + b"X-Pad: pppp\r\n" * 2000,
     "endless interim responses": b"HTTP/1.1 102 Processing\r\n\r\n" * 1000,
+    "trailer field too large": CHUNKED_HEAD + b"2\r\nok\r\n0\r\nX-Pad: " + b"p" * 20000,
+    "too many trailer fields": CHUNKED_HEAD + b"2\r\nok\r\n0\r\n" + b"a:\r\n" * 5000,
+    "chunk extension too large": CHUNKED_HEAD + b"2;x=" + b"p" * 20000,
     "length too large": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok",
     "chunks too large": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + b"x" * 70000,
 }
