Bound what a client's request holds beside its body, and its share of a loop's turn

Trailers and chunk extensions were not counted, and one connection got up to 32 reads of 256 KiB in a turn, with the parser copying the growing field at each piece. A trailer of very many short fields, found by trying other forms, held sound requests up for 19.8 s.

--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -14,18 +14,21 @@
 from collections import deque
 from http import HTTPStatus
 from time import monotonic
-from typing import cast
 
 import httptools
 
 from ironstage.interface import RetrySafety, Settings
 from ironstage.net.config import Address
 from ironstage.net.limiter import Limiter, RequestMetadata
+from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader
 
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 16 * 1024
+# Of a request's head, and of all that comes between two pieces of its body or after the last one: chunk
+# extensions and trailer fields.
+MAX_FRAMING_BYTES = 16 * 1024
+MAX_FIELD_COUNT = 100  # header and trailer fields of a request
 MAX_PIPELINED_REQUESTS = 4  # read ahead on a connection; further ones stay in the socket's buffer
 ACCEPT_BATCH_SIZE = 64  # connections accepted in a row, before the event loop serves the open ones again
 ACCEPT_RETRY_DELAY_S = 0.05  # while the limit on connections is reached or the descriptors have run out
@@ -61,6 +64,8 @@
         b"x-tier",
     ]
 )
+# The only header fields that are used; no others are kept.
+KEPT_HEADERS = SINGLE_VALUE_HEADERS | {b"content-type", b"expect"}
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -192,26 +197,26 @@
     return value
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(PacedReader):
     """A client's connection: parses its requests and writes their responses in order.
 
     Points in time are seconds of `time.monotonic`.
     """
 
     def __init__(self, clients: Clients) -> None:
+        super().__init__()
         self._clients = clients
         self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
         self._unanswered_requests: deque[HttpRequest] = deque()
-        self._parsing = False  # inside data_received; responses wait until its end
+        self._parsing = False  # in the middle of a turn; responses wait until its end
         self._needs_lingering_close = False  # the sender of a rejected request may still be sending it
         self._input_closed = False  # no further request is read
-        self._reading_paused = False
         self._writing_paused = False  # the client does not read its responses: the write buffer is full
         self._url = b""
         self._headers: dict[bytes, bytes] = {}
-        self._body_parts: list[bytes] = []
-        self._received_bytes = 0  # of the head until it is complete, then of the body
+        self._field_count = 0  # of header and trailer fields
+        self._body = bytearray()
+        self._framing_bytes = 0  # received since the start of the request, or since a piece of its body
         self._head_complete = False
         self.request_started_s: float | None = None  # start of the request that is being received
         self.connected_s = monotonic()
@@ -220,8 +225,7 @@
 
     # --- Connection ----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # uvloop's transport is not a subclass of asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self._clients.idle_connections[self] = None
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -237,25 +241,22 @@
 
     def pause_writing(self) -> None:
         self._writing_paused = True
-        self._update_reading()
+        self.update_reading()
 
     def resume_writing(self) -> None:
         self._writing_paused = False
-        self._update_reading()
+        self.resume_parsing()
 
-    def _update_reading(self) -> None:
-        """Pause or resume reading.
+    def may_parse(self) -> bool:
+        """Return whether the next request may be read.
 
-        Reading is paused while too many requests are unanswered or the client does not read its responses, as
-        one client could fill the memory otherwise.
+        Not while too many requests are unanswered or the client does not read its responses, as one client
+        could fill the memory otherwise.
         """
-        must_pause = self._writing_paused or len(self._unanswered_requests) >= MAX_PIPELINED_REQUESTS
-        if self._transport and must_pause != self._reading_paused and not self._transport.is_closing():
-            self._reading_paused = must_pause
-            if must_pause:
-                self._transport.pause_reading()
-            else:
-                self._transport.resume_reading()
+        return not self._writing_paused and len(self._unanswered_requests) < MAX_PIPELINED_REQUESTS
+
+    def discards_input(self) -> bool:
+        return self._input_closed or super().discards_input()
 
     def close(self) -> None:
         """Read no further request, and close once what is buffered is written."""
@@ -284,64 +285,70 @@
         False while the connection reads no input.
         """
         since_s = self.request_started_s if self.has_received_request else self.connected_s
-        return (
-            since_s is not None and since_s < cutoff_s and not self._input_closed and not self._reading_paused
-        )
+        return since_s is not None and since_s < cutoff_s and not self._input_closed and self.may_parse()
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being received or waits for its response."""
-        return not self._unanswered_requests and self.request_started_s is None
+        """Whether no request is being received, waits to be parsed or waits for its response."""
+        return not self._unanswered_requests and self.request_started_s is None and not self._unparsed
 
     # --- Receiving -----------------------------------------------------------------------------
-    def data_received(self, data: bytes) -> None:
-        # The data is parsed in pieces, so that the size of a head is known to within one piece, however much
-        # arrives at once. No response is written between them: a drain closes the connection after the last
-        # response, and the rest of the data may hold another request.
+    def bulk_bytes(self) -> int:
+        """Return how much is missing of a body with a length."""
+        if not self._head_complete or self._input_closed:
+            return 0
+        length = self._headers.get(b"content-length", b"")
+        return int(length) - len(self._body) if length.isdigit() else 0
+
+    def parse_piece(self, piece: memoryview) -> None:
+        """Parse a piece of the requests.
+
+        Responses are written at the end of the turn: a drain closes the connection after the last response,
+        and the rest of the data may hold another request.
+        """
         self._parsing = True
-        for start in range(0, len(data), MAX_HEAD_BYTES):
-            self._feed_parser(data[start : start + MAX_HEAD_BYTES])
-        self._parsing = False
-        self.flush_responses()
-
-    def _feed_parser(self, data: bytes) -> None:
-        if self._input_closed:
-            return
-        self._received_bytes += 0 if self._head_complete else len(data)
+        self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             self._input_closed = True  # the request itself was handled as any other
         except httptools.HttpParserError:
             self.reject(400)
-        if not self._head_complete and self._received_bytes > MAX_HEAD_BYTES:
+        if self.request_started_s is None:
+            self._framing_bytes = 0  # an empty line between requests
+        elif self._framing_bytes > MAX_FRAMING_BYTES:
             self.reject(431)
 
+    def finish_turn(self) -> None:
+        self._parsing = False
+        self.flush_responses()
+
     def on_message_begin(self) -> None:
         # Not set with the first byte received: an empty line after a request does not start another one.
         self.request_started_s = monotonic()
         self._clients.idle_connections.pop(self, None)
         self._clients.receiving_connections[self] = None
-        self._url, self._headers, self._body_parts, self._head_complete = b"", {}, [], False
+        self._url, self._headers, self._field_count = b"", {}, 0
+        self._body, self._head_complete, self._framing_bytes = bytearray(), False, 0
 
     def on_url(self, url: bytes) -> None:
+        self.count_work()
         self._url += url
-        self._enforce_head_limits(len(self._url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.count_work()
+        self._field_count += 1
+        if self._field_count > MAX_FIELD_COUNT:
+            self.reject(431)
         name, value = name.lower(), value.strip()
+        if self._head_complete or name not in KEPT_HEADERS:  # a trailer field is no header
+            return
         if name in SINGLE_VALUE_HEADERS and self._headers.get(name, value) != value:
             self.reject(400)
         self._headers[name] = value
-        self._enforce_head_limits(len(name) + len(value))
-
-    def _enforce_head_limits(self, field_bytes: int) -> None:
-        """Reject the request if its URL or a header is too large, or if it has too many headers."""
-        if field_bytes > MAX_HEAD_BYTES or len(self._headers) > 100:
-            self.reject(431)
 
     def on_headers_complete(self) -> None:
-        self._head_complete, self._received_bytes = True, 0
+        self._head_complete, self._framing_bytes = True, 0
         length = self._headers.get(b"content-length", b"0")
         if (coding := self._headers.get(b"transfer-encoding")) is not None and (
             b"content-length" in self._headers or coding.lower() != b"chunked"
@@ -357,18 +364,20 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
+        self.count_work()
+        self._framing_bytes = 0
         if self._input_closed:
             return
-        self._received_bytes += len(body)
-        if self._received_bytes > MAX_BODY_BYTES:
+        if len(self._body) + len(body) > MAX_BODY_BYTES:
             self.reject(413)
         elif self._clients.reserve_body_bytes(len(body)):
-            self._body_parts.append(body)
+            self._body += body
         else:
             self.reject(503)  # the bodies of many connections together could exceed the memory limit
 
     def on_message_complete(self) -> None:
-        self.request_started_s, self._head_complete, self._received_bytes = None, False, 0
+        self.count_work(MESSAGE_WORK)
+        self.request_started_s, self._head_complete = None, False
         self.has_received_request = True
         self._clients.receiving_connections.pop(self, None)
         if self._input_closed:
@@ -377,12 +386,11 @@
         keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         self._input_closed = not keep_alive
         self._handle_request(keep_alive)
-        self._update_reading()
 
     def _handle_request(self, keep_alive: bool) -> None:
         """Submit a complete request to the limiter, or answer it here: a readiness check or a bad request."""
-        method, url, body = self._parser.get_method(), self._url, b"".join(self._body_parts)
-        self._body_parts = []
+        method, url, body = self._parser.get_method(), self._url, bytes(self._body)
+        self._body = bytearray()
         self._clients.release_body_bytes(len(body))
         if url.partition(b"?")[0] == b"/up":
             self._respond(keep_alive, 200 if self._clients.ready else 503)
@@ -412,8 +420,8 @@
         request.answer(status_code, text.encode(), b"text/plain" if text else b"")
 
     def _drop_partial_body(self) -> None:
-        self._clients.release_body_bytes(sum(map(len, self._body_parts)))
-        self._body_parts = []
+        self._clients.release_body_bytes(len(self._body))
+        self._body = bytearray()
 
     def reject(self, status_code: int) -> None:
         """Answer a request that can't be read to its end, after the responses due before it; then close."""
@@ -433,7 +441,9 @@
             request = self._unanswered_requests.popleft()
             self._clients.release_body_bytes(len(request.body))
             status_code, headers, body = response
-            is_last = not self._unanswered_requests and (not request.keep_alive or self._clients.draining)
+            is_last = not self._unanswered_requests and (
+                not request.keep_alive or (self._clients.draining and not self._unparsed)
+            )
             parts += [
                 f"HTTP/1.1 {status_code} {REASON_PHRASES[status_code]}\r\n"
                 f"Content-Length: {len(body)}\r\n".encode(),
@@ -444,7 +454,7 @@
         if parts:
             self.has_sent_response = True
             self._transport.write(b"".join(parts))
-            self._update_reading()
+            self.resume_parsing()
         if is_last:
             self._close_after_last_response()
         elif self.idle and not self._input_closed:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -146,6 +146,7 @@
     run(test())
 
 
+CHUNKED_UPLOAD = build_request("upload").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
 UNREADABLE_REQUESTS: list[tuple[bytes, int]] = [
     (b"nonsense\r\n\r\n", 400),
     (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 400),  # a TLS ClientHello
@@ -166,6 +167,9 @@
     (build_request(path="/read/" + "x" * 20_000), 431),
     (b"GET /read HTTP/1.1\r\n" + b"".join(b"X-%d: y\r\n" % n for n in range(200)) + b"\r\n", 431),
     (b"GET /read HTTP/1.1\r\nX-Endless: " + b"x" * 40_000, 431),
+    (CHUNKED_UPLOAD + b"2\r\nok\r\n0\r\nX-Endless: " + b"x" * 20_000, 431),
+    (CHUNKED_UPLOAD + b"2\r\nok\r\n0\r\n" + b"a:\r\n" * 5000, 431),
+    (CHUNKED_UPLOAD + b"2;x=" + b"x" * 20_000, 431),
 ]
 
 
