--- /dev/null
+++ b/ironstage/net/client_connection.py
@@ -0,0 +1,400 @@
+"""One client's connection: parses its requests, submits them, and writes the responses in request order.
+
+Fields that end in `_s` are seconds; points in time are of `time.monotonic`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from http import HTTPStatus
+from time import monotonic
+
+import httptools
+
+from ironstage.net.limiter import Limiter
+from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader
+from ironstage.net.request_validation import BadRequestError, RequestValidator
+
+MAX_BODY_BYTES = 64 * 1024
+# Of a request's head, and of all that comes between two pieces of its body or after the last one: chunk
+# extensions and trailer fields.
+MAX_FRAMING_BYTES = 16 * 1024
+MAX_FIELD_COUNT = 100  # header and trailer fields of a request
+MAX_PIPELINED_REQUESTS = 4  # unanswered on a connection; further ones wait to be read
+LINGER_TIMEOUT_S = 1.0  # how long a client may go on sending a rejected request; then it is disconnected
+
+# A request that repeats one of these headers with a different value is rejected, because the limiter and
+# another reader of the request could each use a different one.
+SINGLE_VALUE_HEADERS = frozenset(
+    [
+        b"content-length",
+        b"idempotency-key",
+        b"req-deadline",
+        b"req-id",
+        b"req-kind",
+        b"transfer-encoding",
+        b"x-api-key",
+        b"x-call-terms",
+        b"x-tier",
+    ]
+)
+# The only header fields that are used; no others are kept.
+KEPT_HEADERS = SINGLE_VALUE_HEADERS | {b"content-type", b"expect"}
+REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+
+
+class HttpRequest:
+    """A client's request and, once it is known, its response: status code, header lines and body.
+
+    `keep_alive` tells whether the connection may stay open after the response. `request_id` is the
+    limiter's number for the request; it stays 0 for one that the limiter was not given.
+    """
+
+    __slots__ = ("_connection", "body", "forwarded_head", "keep_alive", "request_id", "response")
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        keep_alive: bool,
+        forwarded_head: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        self._connection = connection
+        self.keep_alive = keep_alive
+        self.forwarded_head = forwarded_head
+        self.body = body
+        self.request_id = 0
+        self.response: tuple[int, bytes, bytes] | None = None
+
+    def answer(
+        self, status_code: int, body: bytes = b"", content_type: bytes = b"", retry_after_s: float = 0.0
+    ) -> None:
+        """Set the response, which is written once all earlier ones are; a second response is ignored."""
+        if self.response is None:
+            headers = b"Content-Type: " + content_type + b"\r\n" if content_type else b""
+            if retry_after_s > 0:
+                headers += f"Retry-After: {retry_after_s:.3f}\r\n".encode()
+            self.response = status_code, headers, body
+            self._connection.flush_responses()
+
+
+class ConnectionTable:
+    """The open client connections, and what they share.
+
+    At most `max_buffered_body_bytes` of request bodies are buffered.
+    """
+
+    def __init__(self, limiter: Limiter, validator: RequestValidator, max_buffered_body_bytes: int) -> None:
+        self.limiter = limiter
+        self.validator = validator
+        self.draining = False
+        self.open: set[ClientConnection] = set()
+        # Connections between requests, the one that has been idle for longest first.
+        self.idle: dict[ClientConnection, None] = {}
+        # Connections in the middle of receiving a request, the one whose request started first in front.
+        self.receiving: dict[ClientConnection, None] = {}
+        self._max_buffered_body_bytes = max_buffered_body_bytes
+        self.buffered_body_bytes = 0  # of requests that are being received or wait for their response
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be sent on to a server and no drain has begun."""
+        return self.limiter.ready and not self.draining
+
+    def reserve_body_bytes(self, size_bytes: int) -> bool:
+        """Count part of a request body as buffered; return False if that would exceed the memory limit."""
+        if self.buffered_body_bytes + size_bytes > self._max_buffered_body_bytes:
+            return False
+        self.buffered_body_bytes += size_bytes
+        return True
+
+    def release_body_bytes(self, size_bytes: int) -> None:
+        """Count part of a request body as no longer buffered."""
+        self.buffered_body_bytes -= size_bytes
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection that has ended."""
+        self.open.discard(connection)
+        self.idle.pop(connection, None)
+        self.receiving.pop(connection, None)
+
+
+class ClientConnection(PacedReader):
+    """A client's connection: parses its requests and writes their responses in order.
+
+    Points in time are seconds of `time.monotonic`.
+    """
+
+    def __init__(self, table: ConnectionTable) -> None:
+        super().__init__()
+        self._table = table
+        self._parser = httptools.HttpRequestParser(self)
+        self._unanswered_requests: deque[HttpRequest] = deque()
+        self._parsing = False  # in the middle of a turn; responses wait until its end
+        self._needs_lingering_close = False  # the sender of a rejected request may still be sending it
+        self._input_closed = False  # no further request is read
+        self._writing_paused = False  # the client does not read its responses: the write buffer is full
+        self._url = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._field_count = 0  # of header and trailer fields
+        self._body = bytearray()
+        self._framing_bytes = 0  # received since the start of the request, or since a piece of its body
+        self._head_complete = False
+        self.request_started_s: float | None = None  # start of the request that is being received
+        self.connected_s = monotonic()
+        self.has_sent_response = False
+        self.has_received_request = False
+
+    # --- Connection ----------------------------------------------------------------------------
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._table.idle[self] = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._input_closed = True
+        del self._parser  # breaks a reference cycle that only the garbage collector would free
+        self._table.remove(self)
+        requests, self._unanswered_requests = self._unanswered_requests, deque()
+        self._drop_partial_body()
+        for request in requests:
+            self._table.release_body_bytes(len(request.body))
+            if request.response is None:
+                self._table.limiter.abandon(request.request_id)
+
+    def pause_writing(self) -> None:
+        self._writing_paused = True
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        self._writing_paused = False
+        self.resume_parsing()
+
+    def may_parse(self) -> bool:
+        """Return whether the next request may be read.
+
+        Not while too many requests are unanswered or the client does not read its responses, as one client
+        could fill the memory otherwise.
+        """
+        return not self._writing_paused and len(self._unanswered_requests) < MAX_PIPELINED_REQUESTS
+
+    def discards_input(self) -> bool:
+        return self._input_closed or super().discards_input()
+
+    def close(self) -> None:
+        """Read no further request, and close once what is buffered is written."""
+        self._input_closed = True
+        if self._transport:
+            self._transport.close()
+
+    def close_without_linger(self) -> None:
+        """Close without the lingering period that `reject` leaves, unless responses are still due."""
+        if self._transport and not self._unanswered_requests:
+            self._transport.close()
+
+    def expects_request(self, cutoff_s: float) -> bool:
+        """Return whether a request may still arrive in full.
+
+        True if the connection was opened after `cutoff_s` and has sent no response yet, or if a request that
+        began to arrive after `cutoff_s` is being received.
+        """
+        return (not self.has_sent_response and self.connected_s > cutoff_s) or (
+            self.request_started_s is not None and self.request_started_s > cutoff_s
+        )
+
+    def is_stalled(self, cutoff_s: float) -> bool:
+        """Return whether a request has been arriving, or the first one awaited, since before `cutoff_s`.
+
+        False while the connection reads no input.
+        """
+        since_s = self.request_started_s if self.has_received_request else self.connected_s
+        return since_s is not None and since_s < cutoff_s and not self._input_closed and self.may_parse()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being received, waits to be parsed or waits for its response."""
+        return not self._unanswered_requests and self.request_started_s is None and not self._unparsed
+
+    # --- Receiving -----------------------------------------------------------------------------
+    def bulk_bytes(self) -> int:
+        """Return how much is missing of a body with a length."""
+        if not self._head_complete or self._input_closed:
+            return 0
+        length = self._headers.get(b"content-length", b"")
+        return int(length) - len(self._body) if length.isdigit() else 0
+
+    def parse_piece(self, piece: memoryview) -> None:
+        """Parse a piece of the requests.
+
+        Responses are written at the end of the turn: a drain closes the connection after the last response,
+        and the rest of the data may hold another request.
+        """
+        self._parsing = True
+        self._framing_bytes += len(piece)
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            self._input_closed = True  # the request itself was handled as any other
+        except httptools.HttpParserError:
+            self.reject(400)
+        if self.request_started_s is None:
+            self._framing_bytes = 0  # an empty line between requests
+        elif self._framing_bytes > MAX_FRAMING_BYTES:
+            self.reject(431)
+
+    def finish_turn(self) -> None:
+        self._parsing = False
+        self.flush_responses()
+
+    def on_message_begin(self) -> None:
+        # Not set with the first byte received: an empty line after a request does not start another one.
+        self.request_started_s = monotonic()
+        self._table.idle.pop(self, None)
+        self._table.receiving[self] = None
+        self._url, self._headers, self._field_count = b"", {}, 0
+        self._body, self._head_complete, self._framing_bytes = bytearray(), False, 0
+
+    def on_url(self, url: bytes) -> None:
+        self.count_work()
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.count_work()
+        self._field_count += 1
+        if self._field_count > MAX_FIELD_COUNT:
+            self.reject(431)
+        name, value = name.lower(), value.strip()
+        if self._head_complete or name not in KEPT_HEADERS:  # a trailer field is no header
+            return
+        if name in SINGLE_VALUE_HEADERS and self._headers.get(name, value) != value:
+            self.reject(400)
+        self._headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        self._head_complete, self._framing_bytes = True, 0
+        length = self._headers.get(b"content-length", b"0")
+        if (coding := self._headers.get(b"transfer-encoding")) is not None and (
+            b"content-length" in self._headers or coding.lower() != b"chunked"
+        ):
+            self.reject(400)  # request smuggling: the body may hide another request
+        elif length.isdigit() and int(length[:9]) > MAX_BODY_BYTES:
+            self.reject(413)
+        elif (
+            self._headers.get(b"expect", b"").lower() == b"100-continue"
+            and not self._unanswered_requests
+            and self._transport
+        ):
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self.count_work()
+        self._framing_bytes = 0
+        if self._input_closed:
+            return
+        if len(self._body) + len(body) > MAX_BODY_BYTES:
+            self.reject(413)
+        elif self._table.reserve_body_bytes(len(body)):
+            self._body += body
+        else:
+            self.reject(503)  # the bodies of many connections together could exceed the memory limit
+
+    def on_message_complete(self) -> None:
+        self.count_work(MESSAGE_WORK)
+        self.request_started_s, self._head_complete = None, False
+        self.has_received_request = True
+        self._table.receiving.pop(self, None)
+        if self._input_closed:
+            return
+        # After an upgrade to another protocol no further HTTP request can be recognised.
+        keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        self._input_closed = not keep_alive
+        self._handle_request(keep_alive)
+
+    def _handle_request(self, keep_alive: bool) -> None:
+        """Submit a complete request to the limiter, or answer it here: a readiness check or a bad request."""
+        method, url, body = self._parser.get_method(), self._url, bytes(self._body)
+        self._body = bytearray()
+        self._table.release_body_bytes(len(body))
+        if url.partition(b"?")[0] == b"/up":
+            self._respond(keep_alive, 200 if self._table.ready else 503)
+            return
+        try:
+            metadata = self._table.validator.validate(method, url, self._headers, bool(body))
+        except BadRequestError as error:
+            self._respond(keep_alive, error.status_code, str(error))
+            return
+        head = [method, b" ", url, b" HTTP/1.1\r\nHost: backend.local\r\nReq-Id: ", self._headers[b"req-id"]]
+        if idempotency_key := self._headers.get(b"idempotency-key"):
+            head += [b"\r\nIdempotency-Key: ", idempotency_key]
+        if content_type := self._headers.get(b"content-type"):
+            head += [b"\r\nContent-Type: ", content_type]
+        if method == b"POST":
+            head += [b"\r\nContent-Length: ", str(len(body)).encode()]
+        # Reserves again what was released above, until the request is answered.
+        self._table.reserve_body_bytes(len(body))
+        request = HttpRequest(self, keep_alive, b"".join([*head, b"\r\n"]), body)
+        self._unanswered_requests.append(request)
+        request.request_id = self._table.limiter.submit(request, metadata)
+
+    def _respond(self, keep_alive: bool, status_code: int, text: str = "") -> None:
+        """Answer a request without submitting it to the limiter."""
+        request = HttpRequest(self, keep_alive)
+        self._unanswered_requests.append(request)
+        request.answer(status_code, text.encode(), b"text/plain" if text else b"")
+
+    def _drop_partial_body(self) -> None:
+        self._table.release_body_bytes(len(self._body))
+        self._body = bytearray()
+
+    def reject(self, status_code: int) -> None:
+        """Answer a request that can't be read to its end, after the responses due before it; then close."""
+        if not self._input_closed:
+            self._input_closed = self._needs_lingering_close = True
+            self._table.receiving.pop(self, None)
+            self._drop_partial_body()
+            self._respond(False, status_code)
+
+    # --- Responding ----------------------------------------------------------------------------
+    def flush_responses(self) -> None:
+        """Write the responses that are ready and next in the order of the requests, in a single write."""
+        if self._transport is None or self._transport.is_closing() or self._parsing:
+            return
+        parts, is_last = [], False
+        while self._unanswered_requests and (response := self._unanswered_requests[0].response):
+            request = self._unanswered_requests.popleft()
+            self._table.release_body_bytes(len(request.body))
+            status_code, headers, body = response
+            is_last = not self._unanswered_requests and (
+                not request.keep_alive or (self._table.draining and not self._unparsed)
+            )
+            parts += [
+                f"HTTP/1.1 {status_code} {REASON_PHRASES[status_code]}\r\n"
+                f"Content-Length: {len(body)}\r\n".encode(),
+                headers,
+                b"Connection: close\r\n\r\n" if is_last else b"\r\n",
+                body,
+            ]
+        if parts:
+            self.has_sent_response = True
+            self._transport.write(b"".join(parts))
+            self.resume_parsing()
+        if is_last:
+            self._close_after_last_response()
+        elif self.idle and not self._input_closed:
+            self._table.idle[self] = None
+
+    def _close_after_last_response(self) -> None:
+        """Close the connection, at once or by a lingering close.
+
+        If the client is still sending, closing at once would reset the connection, and the client could lose
+        the last response.
+        """
+        self._input_closed = True
+        if self._transport is None:
+            return
+        if not self._needs_lingering_close:
+            self._transport.close()
+        else:
+            self.request_started_s = None
+            self._transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_TIMEOUT_S, self._transport.abort)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -452,7 +452,7 @@
             fixture.clients._max_connections = 2
             request_ids = ["one", "two", "three"]
             connected_clients = [await fixture.connect() for _ in request_ids]
-            await wait_until(lambda: len(fixture.clients.idle_connections) == 2)
+            await wait_until(lambda: len(fixture.clients.connections.idle) == 2)
             for request_id, client in zip(request_ids, connected_clients, strict=True):
                 assert (
                     await client.request(build_request(request_id=request_id))
@@ -471,12 +471,12 @@
         ):
             client = await fixture.connect()
             assert (await client.request(build_request(request_id="one"))).body == b"one"
-            [connection] = fixture.clients._open_connections
+            [connection] = fixture.clients.connections.open
             client.send(b"\r\n")
             # The limiter reads the empty line while it serves the other client.
             other_client = await fixture.connect()
             assert (await other_client.request(build_request(request_id="other"))).body == b"other"
-            assert connection.request_started_s is None and connection in fixture.clients.idle_connections
+            assert connection.request_started_s is None and connection in fixture.clients.connections.idle
             assert (await client.request(build_request(request_id="two"))).body == b"two"
 
     run(test())
@@ -495,7 +495,7 @@
             client = await fixture.connect()
             assert (await client.request(build_request(request_id="one"))).body == b"one"
             client.send(build_request(request_id="two")[:-2])
-            await wait_until(lambda: not fixture.clients.idle_connections)
+            await wait_until(lambda: not fixture.clients.connections.idle)
             drain_task = asyncio.create_task(fixture.clients.drain())
             await wait_until(lambda: fixture.clients._listener.fileno() < 0)
             for _ in range(5):  # lets the drain check its connections a few times
@@ -518,11 +518,11 @@
             client.send(sent_bytes)
             await wait_until(
                 lambda: bool(
-                    fixture.clients.receiving_connections if sent_bytes else fixture.clients.idle_connections
+                    fixture.clients.connections.receiving if sent_bytes else fixture.clients.connections.idle
                 )
             )
             fixture.clients.close_stalled_connections()
-            [connection] = fixture.clients._open_connections
+            [connection] = fixture.clients.connections.open
             connection.connected_s -= clients.REQUEST_READ_TIMEOUT_S  # the timeout runs from the connect
             fixture.clients.close_stalled_connections()
             if sent_bytes:
@@ -610,11 +610,11 @@
             await echo_request_id(held_request)
             assert (await first_client.read_response()).body == b"one"
             third_client.send(build_request("fix", "three", b"x" * 60_000)[:-1])
-            await wait_until(lambda: fixture.clients._buffered_body_bytes > 50_000)
+            await wait_until(lambda: fixture.clients.connections.buffered_body_bytes > 50_000)
             third_client.close()
-            await wait_until(lambda: fixture.clients._buffered_body_bytes == 0)
+            await wait_until(lambda: fixture.clients.connections.buffered_body_bytes == 0)
             server.handler = echo_request_id
             assert (await first_client.request(build_request("fix", "again", b"x" * 60_000))).body == b"again"
-            assert fixture.clients._buffered_body_bytes == 0
+            assert fixture.clients.connections.buffered_body_bytes == 0
 
     run(test())
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -194,7 +194,7 @@
                 ) as fixture,
             ):
                 assert len(fixture.limiter._gateway.fleet.ready_servers) == FLEET_SIZE + 1
-                parsed_terms = fixture.clients.validator._parse_call_terms(call_terms.encode())
+                parsed_terms = fixture.clients.connections.validator._parse_call_terms(call_terms.encode())
                 assert parsed_terms == (1.0, FLEET_SIZE)
 
         run(test())
