Count all that clients and servers make the process hold in one memory account

Limiters were killed for memory while hundreds of clients wrote slowly or stopped half way: only bytes of request bodies were counted. Heads, small pieces of bodies, unread responses, responses being received and the objects of connections and requests were not. All of these are now reserved in one account set from the memory limit; what does not fit is refused.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -13,9 +13,10 @@
 import uvloop
 
 from ironstage.net import config as configuration
-from ironstage.net.clients import Clients
+from ironstage.net.clients import CONNECTION_BYTES, Clients, count_client_connections
 from ironstage.net.discovery import Watch, count_discovery_clients
 from ironstage.net.limiter import RESERVED_DESCRIPTOR_COUNT, SERVER_CONNECTION_FRACTION, Limiter
+from ironstage.net.memory import MemoryAccount, account_capacity_bytes, resident_bytes
 
 log = logging.getLogger("ironstage")
 
@@ -46,13 +47,14 @@
     loop, stop_event = asyncio.get_running_loop(), asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_event.set)
-    limiter = Limiter(config)
-    max_client_connections = int(
+    capacity_bytes = account_capacity_bytes(config.memory_limit_bytes, resident_bytes())
+    client_descriptor_count = int(
         (config.sockets - RESERVED_DESCRIPTOR_COUNT) * (1 - SERVER_CONNECTION_FRACTION)
     )
-    clients = Clients(
-        limiter, config.settings, config.listen, max_client_connections, config.max_buffered_body_bytes
-    )
+    max_client_connections = count_client_connections(client_descriptor_count, capacity_bytes)
+    memory = MemoryAccount(capacity_bytes - max_client_connections * CONNECTION_BYTES)
+    limiter = Limiter(config, memory)
+    clients = Clients(limiter, config.settings, config.listen, max_client_connections, memory)
     watch = Watch(
         config.discovery,
         limiter.apply_host_list,
--- a/ironstage/net/client_connection.py
+++ b/ironstage/net/client_connection.py
@@ -13,7 +13,8 @@
 import httptools
 
 from ironstage.net.limiter import Limiter
-from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader
+from ironstage.net.memory import Holding, MemoryAccount, Purpose
+from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader, write_parts
 from ironstage.net.request_validation import BadRequestError, RequestValidator
 
 MAX_BODY_BYTES = 64 * 1024
@@ -22,6 +23,7 @@
 MAX_FRAMING_BYTES = 16 * 1024
 MAX_FIELD_COUNT = 100  # header and trailer fields of a request
 MAX_PIPELINED_REQUESTS = 4  # unanswered on a connection; further ones wait to be read
+RECEIVING_BYTES = 2 * 1024  # for the objects of a request that is being received, beside its bytes
 LINGER_TIMEOUT_S = 1.0  # how long a client may go on sending a rejected request; then it is disconnected
 
 # A request that repeats one of these headers with a different value is rejected, because the limiter and
@@ -76,16 +78,14 @@
             if retry_after_s > 0:
                 headers += f"Retry-After: {retry_after_s:.3f}\r\n".encode()
             self.response = status_code, headers, body
+            self.forwarded_head = self.body = b""  # attempts that are still outstanding have their own
             self._connection.flush_responses()
 
 
 class ConnectionTable:
-    """The open client connections, and what they share.
+    """The open client connections, and what they share."""
 
-    At most `max_buffered_body_bytes` of request bodies are buffered.
-    """
-
-    def __init__(self, limiter: Limiter, validator: RequestValidator, max_buffered_body_bytes: int) -> None:
+    def __init__(self, limiter: Limiter, validator: RequestValidator, memory: MemoryAccount) -> None:
         self.limiter = limiter
         self.validator = validator
         self.draining = False
@@ -94,25 +94,13 @@
         self.idle: dict[ClientConnection, None] = {}
         # Connections in the middle of receiving a request, the one whose request started first in front.
         self.receiving: dict[ClientConnection, None] = {}
-        self._max_buffered_body_bytes = max_buffered_body_bytes
-        self.buffered_body_bytes = 0  # of requests that are being received or wait for their response
+        self.memory = memory
 
     @property
     def ready(self) -> bool:
         """Whether requests can be sent on to a server and no drain has begun."""
         return self.limiter.ready and not self.draining
 
-    def reserve_body_bytes(self, size_bytes: int) -> bool:
-        """Count part of a request body as buffered; return False if that would exceed the memory limit."""
-        if self.buffered_body_bytes + size_bytes > self._max_buffered_body_bytes:
-            return False
-        self.buffered_body_bytes += size_bytes
-        return True
-
-    def release_body_bytes(self, size_bytes: int) -> None:
-        """Count part of a request body as no longer buffered."""
-        self.buffered_body_bytes -= size_bytes
-
     def remove(self, connection: ClientConnection) -> None:
         """Remove a connection that has ended."""
         self.open.discard(connection)
@@ -129,7 +117,8 @@
     def __init__(self, table: ConnectionTable) -> None:
         super().__init__()
         self._table = table
-        self._parser = httptools.HttpRequestParser(self)
+        # None once no further request is read: the parser holds what it has of an incomplete field.
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._unanswered_requests: deque[HttpRequest] = deque()
         self._parsing = False  # in the middle of a turn; responses wait until its end
         self._needs_lingering_close = False  # the sender of a rejected request may still be sending it
@@ -139,8 +128,13 @@
         self._headers: dict[bytes, bytes] = {}
         self._field_count = 0  # of header and trailer fields
         self._body = bytearray()
+        self._head_bytes = 0  # of the request that is being received
         self._framing_bytes = 0  # received since the start of the request, or since a piece of its body
         self._head_complete = False
+        self._holding = Holding(table.memory)
+        self.writing_since_s: float | None = None  # since when a response has been written in part
+        self._unwritten_bytes = 0  # of responses, when last looked at
+        self._last_read_s = 0.0  # when the client was last seen to have read some of it
         self.request_started_s: float | None = None  # start of the request that is being received
         self.connected_s = monotonic()
         self.has_sent_response = False
@@ -149,27 +143,61 @@
     # --- Connection ----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        assert self._transport
+        # With this limit, resume_writing is called once the last byte has been written.
+        self._transport.set_write_buffer_limits(high=0)
         self._table.idle[self] = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._input_closed = True
-        del self._parser  # breaks a reference cycle that only the garbage collector would free
+        self._parser = None  # breaks a reference cycle that only the garbage collector would free
         self._table.remove(self)
         requests, self._unanswered_requests = self._unanswered_requests, deque()
-        self._drop_partial_body()
+        self._body, self._transport = bytearray(), None
+        self._holding.release()
         for request in requests:
-            self._table.release_body_bytes(len(request.body))
             if request.response is None:
                 self._table.limiter.abandon(request.request_id)
 
     def pause_writing(self) -> None:
         self._writing_paused = True
+        self.writing_since_s = self._last_read_s = monotonic()
         self.update_reading()
 
     def resume_writing(self) -> None:
         self._writing_paused = False
+        self.writing_since_s = None
+        self._holding.take_over(self._held_bytes())
         self.resume_parsing()
 
+    def is_write_stalled(self, cutoff_s: float) -> bool:
+        """Return whether the client has read nothing of a response since before `cutoff_s`."""
+        if self._transport is None or self.writing_since_s is None:
+            return False
+        unwritten_bytes = self._transport.get_write_buffer_size()
+        if unwritten_bytes != self._unwritten_bytes:
+            self._unwritten_bytes, self._last_read_s = unwritten_bytes, monotonic()
+        return self._last_read_s < cutoff_s
+
+    def abort(self) -> None:
+        """Close at once, without the responses that the client does not read."""
+        self._input_closed, self.writing_since_s = True, None
+        self._holding.release()
+        if self._transport:
+            self._transport.abort()
+
+    def _held_bytes(self) -> int:
+        """Return how much memory is held beside the connection itself and its submitted requests."""
+        if self._transport is None:  # the connection has ended
+            return 0
+        held_bytes = len(self._unparsed) + self._transport.get_write_buffer_size()
+        for request in self._unanswered_requests:
+            held_bytes += len(request.response[2]) if request.response else 0
+        if self.request_started_s is not None and not self._input_closed:
+            held_bytes += RECEIVING_BYTES + self._head_bytes + self._framing_bytes
+            held_bytes += len(self._body) * 9 // 8  # a growing buffer is up to an eighth larger
+        return held_bytes
+
     def may_parse(self) -> bool:
         """Return whether the next request may be read.
 
@@ -229,6 +257,7 @@
         Responses are written at the end of the turn: a drain closes the connection after the last response,
         and the rest of the data may hold another request.
         """
+        assert self._parser
         self._parsing = True
         self._framing_bytes += len(piece)
         try:
@@ -243,7 +272,11 @@
             self.reject(431)
 
     def finish_turn(self) -> None:
+        if not self._input_closed and not self._holding.resize(self._held_bytes(), Purpose.INCOMPLETE_INPUT):
+            self.reject(503)
         self._parsing = False
+        if self._input_closed:
+            self._parser = None
         self.flush_responses()
 
     def on_message_begin(self) -> None:
@@ -252,7 +285,8 @@
         self._table.idle.pop(self, None)
         self._table.receiving[self] = None
         self._url, self._headers, self._field_count = b"", {}, 0
-        self._body, self._head_complete, self._framing_bytes = bytearray(), False, 0
+        self._body, self._head_complete = bytearray(), False
+        self._head_bytes = self._framing_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         self.count_work()
@@ -271,7 +305,8 @@
         self._headers[name] = value
 
     def on_headers_complete(self) -> None:
-        self._head_complete, self._framing_bytes = True, 0
+        self._head_complete = True
+        self._head_bytes, self._framing_bytes = self._framing_bytes, 0
         length = self._headers.get(b"content-length", b"0")
         if (coding := self._headers.get(b"transfer-encoding")) is not None and (
             b"content-length" in self._headers or coding.lower() != b"chunked"
@@ -293,28 +328,25 @@
             return
         if len(self._body) + len(body) > MAX_BODY_BYTES:
             self.reject(413)
-        elif self._table.reserve_body_bytes(len(body)):
-            self._body += body
         else:
-            self.reject(503)  # the bodies of many connections together could exceed the memory limit
+            self._body += body
 
     def on_message_complete(self) -> None:
         self.count_work(MESSAGE_WORK)
         self.request_started_s, self._head_complete = None, False
         self.has_received_request = True
         self._table.receiving.pop(self, None)
-        if self._input_closed:
+        if self._input_closed or self._parser is None:
             return
         # After an upgrade to another protocol no further HTTP request can be recognised.
         keep_alive = self._parser.should_keep_alive() and not self._parser.should_upgrade()
         self._input_closed = not keep_alive
-        self._handle_request(keep_alive)
+        self._handle_request(self._parser.get_method(), keep_alive)
 
-    def _handle_request(self, keep_alive: bool) -> None:
+    def _handle_request(self, method: bytes, keep_alive: bool) -> None:
         """Submit a complete request to the limiter, or answer it here: a readiness check or a bad request."""
-        method, url, body = self._parser.get_method(), self._url, bytes(self._body)
+        url, body = self._url, bytes(self._body)
         self._body = bytearray()
-        self._table.release_body_bytes(len(body))
         if url.partition(b"?")[0] == b"/up":
             self._respond(keep_alive, 200 if self._table.ready else 503)
             return
@@ -330,8 +362,7 @@
             head += [b"\r\nContent-Type: ", content_type]
         if method == b"POST":
             head += [b"\r\nContent-Length: ", str(len(body)).encode()]
-        # Reserves again what was released above, until the request is answered.
-        self._table.reserve_body_bytes(len(body))
+        self._holding.take_over(self._held_bytes())  # the limiter reserves what it holds from here on
         request = HttpRequest(self, keep_alive, b"".join([*head, b"\r\n"]), body)
         self._unanswered_requests.append(request)
         request.request_id = self._table.limiter.submit(request, metadata)
@@ -342,16 +373,14 @@
         self._unanswered_requests.append(request)
         request.answer(status_code, text.encode(), b"text/plain" if text else b"")
 
-    def _drop_partial_body(self) -> None:
-        self._table.release_body_bytes(len(self._body))
-        self._body = bytearray()
-
     def reject(self, status_code: int) -> None:
         """Answer a request that can't be read to its end, after the responses due before it; then close."""
         if not self._input_closed:
             self._input_closed = self._needs_lingering_close = True
             self._table.receiving.pop(self, None)
-            self._drop_partial_body()
+            self._url, self._headers, self._body = b"", {}, bytearray()
+            if not self._parsing:
+                self._parser = None
             self._respond(False, status_code)
 
     # --- Responding ----------------------------------------------------------------------------
@@ -362,7 +391,6 @@
         parts, is_last = [], False
         while self._unanswered_requests and (response := self._unanswered_requests[0].response):
             request = self._unanswered_requests.popleft()
-            self._table.release_body_bytes(len(request.body))
             status_code, headers, body = response
             is_last = not self._unanswered_requests and (
                 not request.keep_alive or (self._table.draining and not self._unparsed)
@@ -376,8 +404,9 @@
             ]
         if parts:
             self.has_sent_response = True
-            self._transport.write(b"".join(parts))
+            write_parts(self._transport, parts)
             self.resume_parsing()
+        self._holding.take_over(self._held_bytes())
         if is_last:
             self._close_after_last_response()
         elif self.idle and not self._input_closed:
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -15,10 +15,13 @@
 from ironstage.net.client_connection import ClientConnection, ConnectionTable
 from ironstage.net.config import Address
 from ironstage.net.limiter import Limiter
+from ironstage.net.memory import CLIENT_CONNECTION_FRACTION, MemoryAccount
 from ironstage.net.request_validation import RequestValidator
 
 log = logging.getLogger(__name__)
 
+# Measured with hundreds of idle connections: the protocol, its parser and the event loop's transport.
+CONNECTION_BYTES = 4608
 ACCEPT_BATCH_SIZE = 64  # connections accepted in a row, before the event loop serves the open ones again
 ACCEPT_RETRY_DELAY_S = 0.05  # while the limit on connections is reached or the descriptors have run out
 # For reading a whole request, from its first byte; for the first request of a connection, from the connect.
@@ -34,11 +37,16 @@
 RESOURCE_EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+def count_client_connections(descriptor_count: int, memory_capacity_bytes: int) -> int:
+    """Return how many client connections may be open, given their descriptors and the memory account."""
+    affordable_count = int(memory_capacity_bytes * CLIENT_CONNECTION_FRACTION) // CONNECTION_BYTES
+    return min(descriptor_count, affordable_count)
+
+
 class Clients:
     """Accepts client connections, bounds their number and memory, and drains them gracefully.
 
-    At most `max_connections` connections are open, and at most `max_buffered_body_bytes` of request
-    bodies are buffered.
+    At most `max_connections` connections are open. `memory` is for what they hold beside their objects.
     """
 
     def __init__(
@@ -47,9 +55,10 @@
         settings: Settings,
         address: Address,
         max_connections: int,
-        max_buffered_body_bytes: int,
+        memory: MemoryAccount,
     ) -> None:
-        self.connections = ConnectionTable(limiter, RequestValidator(settings), max_buffered_body_bytes)
+        self.connections = ConnectionTable(limiter, RequestValidator(settings), memory)
+        memory.add_relief(self._relieve_memory)
         self._connection_start_tasks: set[asyncio.Task[None]] = set()
         self._max_connections = max_connections
         self._last_accept_s = 0.0
@@ -87,7 +96,7 @@
 
     def _accept_connections(self) -> None:
         for _ in range(ACCEPT_BATCH_SIZE):
-            if len(self.connections.open) >= self._max_connections and not self._evict_connection():
+            if not self._make_room():
                 self._pause_accepting_for(ACCEPT_RETRY_DELAY_S)
                 return
             try:
@@ -118,6 +127,23 @@
             sock.close()
             self.connections.remove(connection)
 
+    def _make_room(self) -> bool:
+        """Return whether another connection may be opened, after closing one if necessary."""
+        return len(self.connections.open) < self._max_connections or self._evict_connection()
+
+    def _relieve_memory(self) -> bool:
+        """Give up the client that takes longest to read its responses, or else the slowest request.
+
+        Return False if none has taken longer than `FIRST_REQUEST_GRACE_S`.
+        """
+        cutoff_s = monotonic() - FIRST_REQUEST_GRACE_S
+        writing = [(c.writing_since_s, c) for c in self.connections.open if c.writing_since_s is not None]
+        slowest = min(writing, key=lambda pair: pair[0], default=None)
+        if slowest is None or slowest[0] >= cutoff_s:
+            return self._time_out_slowest_request(cutoff_s)
+        slowest[1].abort()
+        return True
+
     def _evict_connection(self) -> bool:
         """Close the connection that has been idle for longest, or else the one with the slowest request.
 
@@ -146,11 +172,13 @@
         return True
 
     def close_stalled_connections(self) -> None:
-        """End requests that never arrive in full, and connections on which nothing ever arrives.
+        """End requests that never arrive in full, and connections on which nothing ever arrives or is read.
 
-        Each of them would occupy its socket forever.
+        Each of them would occupy its socket and its memory forever.
         """
         cutoff_s = monotonic() - REQUEST_READ_TIMEOUT_S
+        for connection in [c for c in self.connections.open if c.is_write_stalled(cutoff_s)]:
+            connection.abort()
         for connection in [c for c in self.connections.open if c.is_stalled(cutoff_s)]:
             if connection.request_started_s is None:
                 connection.close()
--- a/ironstage/net/config.py
+++ b/ironstage/net/config.py
@@ -16,17 +16,10 @@
 DEFAULT_SOCKET_COUNT = 1024  # file descriptors
 MIN_SOCKET_COUNT = 64  # for the event loop, the listener, discovery, and some connections to either side
 DEFAULT_MEMORY_MB = 192.0  # the most that the deployment grants
-BASE_MEMORY_MB = 20.0  # for the program with all its tables, which used 14 MB in the longest load run
-# Copies of a body held at a time: its received pieces, the joined body, the message to a server, and the part
-# of that message that is not yet sent.
-BODY_COPY_COUNT = 4
-MIN_BUFFERED_BODY_BYTES = 1 << 20
 DEFAULT_CONNECT_TIMEOUT_MS = 250.0
 DEFAULT_SERVER_IDLE_TIMEOUT_MS = 15_000.0
 DEFAULT_MAX_RETRY_AFTER_MS = 500.0
-# Default and upper bound of `maxOpen`: so many requests, with request and response bodies of 64 KiB, fit into
-# the memory.
-MAX_OPEN_REQUEST_COUNT = 1000
+MAX_OPEN_REQUEST_COUNT = 1000  # default and upper bound of `maxOpen`
 
 
 class ConfigError(ValueError):
@@ -37,9 +30,9 @@
 class Config:
     """The configuration of a limiter.
 
-    `sockets` is the number of file descriptors that the limiter may use. `max_buffered_body_bytes` bounds
-    the client request bodies held at a time, and `max_open` the unanswered requests. The ids of the
-    `zones` are their positions. A server closes a connection that has been idle for `server_idle_timeout_s`.
+    `sockets` is the number of file descriptors that the limiter may use, `memory_limit_bytes` the memory of
+    its process, and `max_open` bounds the unanswered requests. The ids of the `zones` are their positions. A
+    server closes a connection that has been idle for `server_idle_timeout_s`.
     `known` is the last known host list, in discovery's JSON format.
     """
 
@@ -48,7 +41,7 @@
     discovery: Address
     seed: int
     sockets: int
-    max_buffered_body_bytes: int
+    memory_limit_bytes: int
     max_open: int
     settings: api.Settings
     zones: tuple[str, ...]
@@ -85,15 +78,6 @@
     return float(value)
 
 
-def _max_buffered_body_bytes(memory_mb: float) -> int:
-    """Return how many bytes of client request bodies may be held at a time.
-
-    `BODY_COPY_COUNT` copies of each body must fit into the memory limit less `BASE_MEMORY_MB`. At least
-    `MIN_BUFFERED_BODY_BYTES` are allowed in any case.
-    """
-    return max(MIN_BUFFERED_BODY_BYTES, int((memory_mb - BASE_MEMORY_MB) * (1 << 20) / BODY_COPY_COUNT))
-
-
 def _parse_seed(text: object) -> int:
     """Parse the hexadecimal seed of the random number generators."""
     try:
@@ -141,7 +125,7 @@
         discovery=parse_address(environ.get("GW_DISCOVERY") or raw.get("discovery")),
         seed=_parse_seed(raw.get("seed", "0")),
         sockets=int(_get_number(limits, "sockets", DEFAULT_SOCKET_COUNT, MIN_SOCKET_COUNT)),
-        max_buffered_body_bytes=_max_buffered_body_bytes(_get_number(limits, "memory_mb", DEFAULT_MEMORY_MB)),
+        memory_limit_bytes=int(_get_number(limits, "memory_mb", DEFAULT_MEMORY_MB) * (1 << 20)),
         max_open=int(min(MAX_OPEN_REQUEST_COUNT, _get_number(ceilings, "maxOpen", MAX_OPEN_REQUEST_COUNT))),
         # Over HTTP a refusal may always carry Retry-After; only in the simulator may the settings forbid it.
         settings=replace(
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -22,6 +22,7 @@
 from ironstage.interface import CallStatus, ServerState
 from ironstage.net.config import Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
+from ironstage.net.memory import Holding, MemoryAccount, Purpose
 from ironstage.net.server_connection import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
 from ironstage.net.servers import Servers
 from ironstage.policy import Gateway
@@ -40,6 +41,10 @@
 SERVER_CONNECTION_FRACTION = 0.4
 RESERVED_DESCRIPTOR_COUNT = 32  # for the listener, the discovery watch, the event loop and the log
 
+# Measured with hundreds of requests that wait for their servers: the objects of a request and of an attempt,
+# here and in the decision module, with their timers.
+REQUEST_BYTES = 6 * 1024
+
 PROBE_REQUEST = ServerRequest(b"GET /metrics/load HTTP/1.1\r\nHost: backend.local\r\n")
 
 
@@ -86,6 +91,7 @@
     """
 
     client_request: ClientRequest
+    holding: Holding
     client_request_id: bytes
     at_most_once: bool
     deadline_ms: float
@@ -115,8 +121,9 @@
     in the configuration, 0 without one.
     """
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, memory: MemoryAccount) -> None:
         self._settings = config.settings
+        self._memory = memory
         self._gateway = Gateway(config.settings, config.seed)
         self._clock_start_s = time.monotonic()
         # Computed once: with a new offset for each conversion, a server's start time would appear to change,
@@ -126,6 +133,7 @@
             int((config.sockets - RESERVED_DESCRIPTOR_COUNT) * SERVER_CONNECTION_FRACTION),
             config.connect_timeout_s,
             config.server_idle_timeout_s,
+            memory,
         )
         self._server_ids: dict[str, int] = {}  # by host name, without the servers that are gone
         self._server_id_counter = itertools.count()  # ids are never reused: attempts may outlast their server
@@ -168,11 +176,16 @@
     def submit(self, client_request: ClientRequest, metadata: RequestMetadata) -> int:
         """Accept a request, which gets exactly one response by its client's deadline; return its id."""
         self._last_request_id += 1
-        if self.open_request_count >= self._max_open_requests:
+        holding = Holding(self._memory)
+        held_bytes = REQUEST_BYTES + len(client_request.forwarded_head) + len(client_request.body)
+        if self.open_request_count >= self._max_open_requests or not holding.resize(
+            held_bytes, Purpose.REQUEST
+        ):
             client_request.answer(503)
             return self._last_request_id
         if metadata.client_request_id in self._open_client_request_ids:
             # A server would take it for a duplicate of the open request with this client request id.
+            holding.release()
             client_request.answer(409)
             return self._last_request_id
         request_id, now_ms = self._last_request_id, self._now_ms()
@@ -184,6 +197,7 @@
         )
         self._requests[request_id] = _PendingRequest(
             client_request,
+            holding,
             metadata.client_request_id,
             request_class.effect is api.RetrySafety.AT_MOST_ONCE,
             deadline_ms,
@@ -401,6 +415,7 @@
         """Remove a request that is closed and has no outstanding attempts."""
         if not pending.is_open and not pending.outstanding_attempt_count:
             self._requests.pop(request_id, None)
+            pending.holding.release()
 
     def _handle_deadline(self, request_id: int) -> None:
         """Answer 504 at the client's deadline if the decision module has not answered the request."""
--- a/ironstage/net/paced_reader.py
+++ b/ironstage/net/paced_reader.py
@@ -22,6 +22,17 @@
 # One buffer for all connections: its content is parsed, or copied, before the next read.
 _read_buffer = memoryview(bytearray(MAX_BULK_READ_BYTES + READ_BYTES))
 
+# Larger messages are written without copying their parts, which may stay in the write buffer for a while.
+MAX_COPIED_WRITE_BYTES = 4 * 1024
+
+
+def write_parts(transport: asyncio.Transport, parts: list[bytes]) -> None:
+    """Write the parts of a message, or of several."""
+    if sum(map(len, parts)) <= MAX_COPIED_WRITE_BYTES:
+        transport.write(b"".join(parts))
+    else:
+        transport.writelines(parts)
+
 
 class PacedReader(asyncio.BufferedProtocol):
     """A protocol that parses what it receives a bounded amount at a time.
--- a/ironstage/net/server_connection.py
+++ b/ironstage/net/server_connection.py
@@ -21,7 +21,8 @@
 import httptools
 
 from ironstage.interface import CallStatus
-from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader
+from ironstage.net.memory import Holding, Purpose
+from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader, write_parts
 
 if TYPE_CHECKING:
     from ironstage.net.servers import Server, Servers
@@ -43,6 +44,8 @@
         b"x-ratelimit-used",
     ]
 )
+# Measured with hundreds of idle connections: the protocol, its parser and the event loop's transport.
+CONNECTION_BYTES = 4608
 # A connection is reused only so long after its last response: a second copy of that response, which a server
 # may send some milliseconds late, would be taken for the response to the next request.
 DUPLICATE_RESPONSE_WAIT_S = 0.015
@@ -82,9 +85,9 @@
     at_most_once: bool = False
     write_by_s: float = math.inf
 
-    def message(self, timeout_s: float) -> bytes:
-        """Return the request as it is written; its Req-Deadline tells how long the answer is waited for."""
-        return b"%bReq-Deadline: %.3f\r\n\r\n%b" % (self.head, max(0.0, timeout_s), self.body)
+    def message(self, timeout_s: float) -> list[bytes]:
+        """Return the parts to write; the Req-Deadline among them tells how long the answer is waited for."""
+        return [b"%bReq-Deadline: %.3f\r\n\r\n" % (self.head, max(0.0, timeout_s)), self.body]
 
 
 class Attempt:
@@ -153,6 +156,8 @@
         super().__init__()
         self._servers = servers
         self._server = server
+        self._holding = Holding(servers.memory)
+        self._holding.take_over(CONNECTION_BYTES)
         self._sock = sock
         self._parser = httptools.HttpResponseParser(self)
         self._attempt: Attempt | None = None
@@ -186,7 +191,7 @@
         self._ends_with_connection = False
         self._nothing_received = True
         # The time that it took to get here, as for opening a connection, is not told as left.
-        self._transport.write(attempt.request.message(attempt.deadline_s - monotonic()))
+        write_parts(self._transport, attempt.request.message(attempt.deadline_s - monotonic()))
         # A failed write closes the transport at once; a partial write leaves the rest in its buffer.
         self.request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
@@ -240,7 +245,13 @@
             self._fail_invalid_response("head or trailer too large")
 
     def finish_turn(self) -> None:
-        """Bound the time for the rest of a response that has begun to arrive."""
+        """Bound the memory and the time for the rest of a response that has begun to arrive."""
+        if self._attempt:
+            held_bytes = CONNECTION_BYTES + len(self._unparsed) + self._framing_bytes
+            held_bytes += len(self._body) * 9 // 8  # a growing buffer is up to an eighth larger
+            if not self._holding.resize(held_bytes, Purpose.RESPONSE):
+                self._fail_invalid_response("no memory left for it")
+                return
         if not self._message_incomplete:
             self._stop_partial_response_timer()  # an interim response does not tell when the final one begins
         elif self._attempt and self._partial_response_timer is None:
@@ -313,6 +324,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.handle_connection_closed(self._server, self)
         del self._parser  # breaks a reference cycle that only the garbage collector would free
+        self._holding.release()
         self._handle_connection_loss()
 
     def close_immediately(self) -> None:
@@ -321,6 +333,7 @@
         The current attempt, if any, is detached but not ended: the caller ends it.
         """
         self._attempt = None
+        self._holding.release()
         self._stop_partial_response_timer()
         if self._transport and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # already closed by the server
@@ -384,6 +397,7 @@
             self._headers.get(b"srv-load", b""),
         )
         self._body = bytearray()
+        self._holding.take_over(CONNECTION_BYTES)
         self.idle_since_s, self.min_idle_s = monotonic(), DUPLICATE_RESPONSE_WAIT_S
         if self._keep_alive and self.request_written:
             self._servers.add_idle_connection(self._server, self)
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -15,7 +15,9 @@
 
 from ironstage.interface import CallStatus
 from ironstage.net.config import Address
+from ironstage.net.memory import MemoryAccount, Purpose
 from ironstage.net.server_connection import (
+    CONNECTION_BYTES,
     TIMER_RESOLUTION_S,
     Attempt,
     AttemptResult,
@@ -52,7 +54,13 @@
     At most `max_connections` are open. Servers close a connection idle for `server_idle_timeout_s`.
     """
 
-    def __init__(self, max_connections: int, connect_timeout_s: float, server_idle_timeout_s: float) -> None:
+    def __init__(
+        self,
+        max_connections: int,
+        connect_timeout_s: float,
+        server_idle_timeout_s: float,
+        memory: MemoryAccount,
+    ) -> None:
         self._max_connections = max_connections
         self._connect_timeout_s = connect_timeout_s
         self._initial_max_idle_s = self._max_idle_s = max(
@@ -61,6 +69,8 @@
         self._servers: dict[int, Server] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
         self._open_connection_count = 0
+        self.memory = memory
+        memory.add_relief(self._close_longest_idle_connection)
 
     def add_or_update(self, server_id: int, address: Address, ready: bool) -> None:
         """Record a server as discovery reports it; if it moved or isn't ready, close its idle connections."""
@@ -101,7 +111,7 @@
         if connection := self._take_idle_connection(server, max_idle_s):
             connection.start(attempt)
             return attempt
-        must_wait = request.at_most_once or self._open_connection_count >= self._max_connections
+        must_wait = request.at_most_once or self._is_full()
         resting_connection = self._take_resting_connection(server) if must_wait else None
         coroutine = (
             self._start_after_rest(server, attempt, resting_connection, max_idle_s)
@@ -186,7 +196,7 @@
 
     async def _connect(self, server: Server, attempt: Attempt) -> None:
         """Open a connection for an attempt; if the attempt has ended by then, keep it for the next one."""
-        if self._open_connection_count >= self._max_connections and not self._close_longest_idle_connection():
+        if self._is_full() and not self._close_longest_idle_connection():
             log.warning(
                 "cannot open a connection to server %s: limit reached, %d are open and none is idle",
                 server.address,
@@ -213,6 +223,12 @@
             return
         self._start_if_still_wanted(server, address, attempt, connection)
 
+    def _is_full(self) -> bool:
+        """Return whether another connection would exceed the limit on them or the memory account."""
+        return self._open_connection_count >= self._max_connections or not self.memory.fits(
+            CONNECTION_BYTES, Purpose.RESPONSE
+        )
+
     def add_idle_connection(self, server: Server, connection: ServerConnection) -> None:
         """Keep a connection for reuse, unless its server takes no new requests."""
         if not server.ready:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -18,6 +18,7 @@
 from ironstage.net.config import Config
 from ironstage.net.discovery import Watch
 from ironstage.net.limiter import Limiter
+from ironstage.net.memory import MemoryAccount
 from ironstage.simulator_protocol import parse_settings
 
 TEST_TIMEOUT_S = 30.0  # reached only by a test that hangs
@@ -244,7 +245,7 @@
         "discovery": discovery,
         "seed": 1,
         "sockets": 1024,
-        "max_buffered_body_bytes": 1 << 24,
+        "memory_limit_bytes": 192 << 20,
         "max_open": 1000,
         "settings": parse_settings(json.dumps(raw_settings).encode()),
         "zones": ("hall-a", "hall-b"),
@@ -258,11 +259,10 @@
 class LimiterFixture:
     """A limiter with its client side and its discovery watch, as the program wires them."""
 
-    def __init__(self, config: Config) -> None:
-        self.limiter = Limiter(config)
-        self.clients = Clients(
-            self.limiter, config.settings, config.listen, 100, config.max_buffered_body_bytes
-        )
+    def __init__(self, config: Config, memory_capacity_bytes: int) -> None:
+        self.memory = MemoryAccount(memory_capacity_bytes)
+        self.limiter = Limiter(config, self.memory)
+        self.clients = Clients(self.limiter, config.settings, config.listen, 100, self.memory)
         self.watch = Watch(config.discovery, self.limiter.apply_host_list, random.Random(1))
         self.watch.seq = self.limiter.cached_list_seq
 
@@ -273,12 +273,15 @@
 
 @contextlib.asynccontextmanager
 async def running_limiter(
-    *hosts: dict[str, Any], agent: DiscoveryAgent | None = None, **overrides: Any
+    *hosts: dict[str, Any],
+    agent: DiscoveryAgent | None = None,
+    memory_capacity_bytes: int = 1 << 26,
+    **overrides: Any,
 ) -> AsyncIterator[LimiterFixture]:
     """Run a limiter with these hosts in its configured host list; it watches the `agent`, if given."""
     if agent:
         overrides["discovery"] = agent.address
-    fixture = LimiterFixture(make_config(*hosts, **overrides))
+    fixture = LimiterFixture(make_config(*hosts, **overrides), memory_capacity_bytes)
     fixture.clients.listen()
     watch_task = asyncio.create_task(fixture.watch.run()) if agent else None
     try:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -594,27 +594,35 @@
     run(test())
 
 
-def test_buffered_bodies_share_one_memory_limit() -> None:
-    """A body beyond the limit is refused; memory is released after the response or a disconnect."""
+def test_bodies_share_one_memory_account() -> None:
+    """A body that does not fit is refused; memory is released after the response or a disconnect."""
 
     async def test() -> None:
         async with (
             backend() as server,
-            running_limiter(host_entry("a", server.address), max_buffered_body_bytes=100_000) as fixture,
+            running_limiter(host_entry("a", server.address), memory_capacity_bytes=170_000) as fixture,
         ):
             first_client, second_client, third_client = [await fixture.connect() for _ in range(3)]
             first_client.send(build_request("fix", "one", b"x" * 60_000))
             held_request = await server.request_queue.get()
+            assert fixture.memory.used_bytes > 60_000
             second_client.send(build_request("fix", "two", b"x" * 60_000)[:-1])
             assert (await second_client.read_response()).status_code == 503
             await echo_request_id(held_request)
             assert (await first_client.read_response()).body == b"one"
+            idle_bytes = fixture.memory.used_bytes
+            assert idle_bytes < 10_000
             third_client.send(build_request("fix", "three", b"x" * 60_000)[:-1])
-            await wait_until(lambda: fixture.clients.connections.buffered_body_bytes > 50_000)
+            await wait_until(lambda: fixture.memory.used_bytes > idle_bytes + 50_000)
             third_client.close()
-            await wait_until(lambda: fixture.clients.connections.buffered_body_bytes == 0)
+            await wait_until(lambda: fixture.memory.used_bytes <= idle_bytes)
             server.handler = echo_request_id
             assert (await first_client.request(build_request("fix", "again", b"x" * 60_000))).body == b"again"
-            assert fixture.clients.connections.buffered_body_bytes == 0
+            await wait_until(lambda: fixture.memory.used_bytes <= idle_bytes)
+            for client in (first_client, second_client):
+                client.close()
+            await wait_until(lambda: not fixture.clients.connections.open)
+            fixture.limiter.close()
+            await wait_until(lambda: fixture.memory.used_bytes == 0)
 
     run(test())
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -12,10 +12,11 @@
 import pytest
 from flood import FloodSpecification, running_flood
 from limiter_process import observe, running_process
-from sockets import ReceivedRequest, backend, build_request, host_entry, run
+from sockets import ReceivedRequest, RequestHandler, backend, build_request, host_entry, run
 
 OBSERVED_S = 3.0
 UPLOAD = build_request("upload", "{n}").decode()
+READ = build_request("read", "{n}").decode()
 CHUNKED_UPLOAD = UPLOAD.replace("Content-Length: 0", "Transfer-Encoding: chunked")
 LAST_CHUNK = "5\r\nhello\r\n0\r\n"
 
@@ -26,12 +27,28 @@
     request.reply(body=request.headers["req-id"].encode())
 
 
-def check_limiter_under_flood(directory: Path, flood: FloodSpecification, memory_mb: float) -> None:
+async def answer_large(request: ReceivedRequest) -> None:
+    """Answer with a body of the maximum size."""
+    request.reply(body=b"x" * 65536)
+
+
+async def answer_no_uploads(request: ReceivedRequest) -> None:
+    """Leave uploads without an answer."""
+    if request.request_line.startswith("GET"):
+        await answer_after_work(request)
+
+
+def check_limiter_under_flood(
+    directory: Path,
+    flood: FloodSpecification,
+    memory_mb: float,
+    handler: RequestHandler = answer_after_work,
+) -> None:
     """Check a limiter's memory and answers while a flood goes on."""
 
     async def test() -> None:
         async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(backend(answer_after_work))
+            server = await stack.enter_async_context(backend(handler))
             limiter = await stack.enter_async_context(
                 running_process(directory, host_entry("a", server.address), memory_mb=memory_mb)
             )
@@ -60,3 +77,55 @@
     """Guards against a request that is read without bound, at full speed, after its head."""
     flood = FloodSpecification(connections=8, reconnects=True, start=start, repeat=repeat)
     check_limiter_under_flood(tmp_path, flood, memory_mb=64)
+
+
+CROWD_SIZE = 590  # connections; the limiter takes 595 at 1,024 descriptors, or fewer for want of memory
+LARGE_UPLOAD = UPLOAD.replace("Content-Length: 0", "Content-Length: 65536")
+MANY_FIELDS = "".join(f"h{index:x}:\r\n" for index in range(80))
+CROWDS: dict[str, tuple[FloodSpecification, RequestHandler]] = {
+    "half of a large body": (
+        FloodSpecification(start=LARGE_UPLOAD, repeat="x" * 1000, stop_after_bytes=60_000),
+        answer_after_work,
+    ),
+    "large bodies, written slowly": (
+        FloodSpecification(start=LARGE_UPLOAD, repeat="x" * 1000, burst_bytes=2000, interval_s=0.05),
+        answer_after_work,
+    ),
+    "half of a body in tiny chunks": (
+        FloodSpecification(start=CHUNKED_UPLOAD, repeat="2\r\nab\r\n" * 10, stop_after_bytes=200_000),
+        answer_after_work,
+    ),
+    "heads of short fields": (FloodSpecification(start=UPLOAD[:-2] + MANY_FIELDS), answer_after_work),
+    "heads of one long field": (
+        FloodSpecification(start=UPLOAD[:-2] + "X-N: " + "a" * 15_500),
+        answer_after_work,
+    ),
+    "trailers of short fields": (
+        FloodSpecification(start=CHUNKED_UPLOAD + LAST_CHUNK + MANY_FIELDS),
+        answer_after_work,
+    ),
+    "large requests that wait for their server": (
+        FloodSpecification(repeat=LARGE_UPLOAD + "x" * 65536, stop_after_bytes=250_000),
+        answer_no_uploads,
+    ),
+    "large heads that wait for their server": (
+        FloodSpecification(
+            repeat=UPLOAD[:-2] + "Content-Type: " + "a" * 15_000 + "\r\n\r\n", stop_after_bytes=60_000
+        ),
+        answer_no_uploads,
+    ),
+    "large responses that are not read": (
+        FloodSpecification(repeat=READ, reads=False, stop_after_bytes=20_000),
+        answer_large,
+    ),
+}
+
+
+@pytest.mark.parametrize("memory_mb", [32, 192])
+@pytest.mark.parametrize(("flood", "handler"), CROWDS.values(), ids=CROWDS.keys())
+def test_crowds_of_clients_neither_fill_the_memory_nor_hold_up_others(
+    tmp_path: Path, flood: FloodSpecification, handler: RequestHandler, memory_mb: float
+) -> None:
+    """Guards against memory held for many peers that is not counted, or not bounded by the memory limit."""
+    flood.connections = CROWD_SIZE
+    check_limiter_under_flood(tmp_path, flood, memory_mb, handler)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -170,10 +170,10 @@
         0.25,
         30.0,
     )
-    assert config.max_buffered_body_bytes == 43 << 20 and config.settings.max_retry_after_ms == 500.0
+    assert config.memory_limit_bytes == 192 << 20 and config.settings.max_retry_after_ms == 500.0
     small_memory_config = {**VALID_CONFIG, "limits": {"memory_mb": 32}}
     config_path.write_text(json.dumps(small_memory_config))
-    assert load({"GW_CONFIG": str(config_path)}).max_buffered_body_bytes == 3 << 20
+    assert load({"GW_CONFIG": str(config_path)}).memory_limit_bytes == 32 << 20
     assert config.settings.classes[2].name == "fix" and config.zones == ("hall-a", "hall-b")
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -34,6 +34,7 @@
 from ironstage.interface import CallStatus
 from ironstage.net import server_connection as connection_module
 from ironstage.net import servers as servers_module
+from ironstage.net.memory import MemoryAccount
 from ironstage.net.server_connection import AttemptResult, ServerRequest
 from ironstage.net.servers import Servers
 
@@ -43,6 +44,11 @@
 TIME_LIMIT_SLACK_S = 0.05  # of every time limit of the protocol
 
 
+def make_servers(max_connections: int, server_idle_timeout_s: float = 30.0) -> Servers:
+    """Return servers without any entry, with ample memory."""
+    return Servers(max_connections, 1.0, server_idle_timeout_s, MemoryAccount(1 << 26))
+
+
 async def request_once(server: Backend, class_name: str = "fix", **headers: str) -> tuple[int, int, bytes]:
     """Send one request through a limiter; return status, number of requests at the server, and body."""
     async with running_limiter(host_entry("a", server.address)) as fixture:
@@ -406,7 +412,7 @@
     """A request that was not written whole never ran, however its attempt ends."""
 
     async def test() -> None:
-        listener, servers = Listener(), Servers(10, 1.0, 30.0)
+        listener, servers = Listener(), make_servers(10)
         servers.add_or_update(1, listener.address, True)
         attempt_task = asyncio.create_task(
             send_and_wait(servers, 1, LARGE_REQUEST, 0.3 if timed_out else 20.0)
@@ -496,7 +502,11 @@
     """The attempt ends with NOT_SENT, nothing is written, and the connection is kept for the next request."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
         request = replace(REQUEST, write_by_s=time.monotonic() + 0.01)
@@ -515,7 +525,7 @@
 def test_response_before_the_whole_request_is_not_forwarded() -> None:
     # Guards against foreign data: a server starts on a request only when it has its last byte.
     async def test() -> None:
-        listener, servers = Listener(), Servers(10, 1.0, 30.0)
+        listener, servers = Listener(), make_servers(10)
         servers.add_or_update(1, listener.address, True)
         attempt_task = asyncio.create_task(send_and_wait(servers, 1, LARGE_REQUEST))
         connection = await listener.accept()
@@ -529,7 +539,11 @@
 
 def test_request_not_written_whole_by_its_write_deadline_is_given_up() -> None:
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
         request = replace(LARGE_REQUEST, write_by_s=time.monotonic() + 0.3)
@@ -546,7 +560,11 @@
     """An idle connection whose close the event loop has not processed yet is replaced by a new one."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
         first_task = asyncio.create_task(send_and_wait(servers, 1, REQUEST))
         connection = await listener.accept()
@@ -613,7 +631,11 @@
     monkeypatch.setattr(servers_module, "SAFE_REUSE_IDLE_S", 10.0)
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
 
         async def respond(body: bytes) -> socket.socket:
@@ -660,7 +682,7 @@
             request.reply()
 
         async with backend(handler) as server:
-            servers = Servers(1, 1.0, 30.0)
+            servers = make_servers(1)
             host, port = server.address.split(":")
             servers.add_or_update(1, (host, int(port)), True)
             for _ in range(3):
@@ -675,7 +697,11 @@
     """It is kept for the next request, unless the server takes none any more; nothing is sent on it."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
         first_task = asyncio.create_task(send_and_wait(servers, 1, REQUEST))
         connection = await listener.accept()
@@ -700,7 +726,11 @@
     """The server sees the connection of a cancelled attempt close before another attempt can reach it."""
 
     async def test() -> None:
-        loop, listener, servers = asyncio.get_running_loop(), Listener(), Servers(10, 1.0, 30.0)
+        loop, listener, servers = (
+            asyncio.get_running_loop(),
+            Listener(),
+            make_servers(10),
+        )
         servers.add_or_update(1, listener.address, True)
         result_future: asyncio.Future[AttemptResult] = loop.create_future()
         attempt = servers.send(1, REQUEST, loop.time() + 20, result_future.set_result)
@@ -716,7 +746,7 @@
 def test_expired_idle_connections_are_closed() -> None:
     async def test() -> None:
         async with backend() as server:
-            servers = Servers(10, 1.0, 0.2)
+            servers = make_servers(10, server_idle_timeout_s=0.2)
             host, port = server.address.split(":")
             servers.add_or_update(1, (host, int(port)), True)
             attempt_tasks = [asyncio.create_task(send_and_wait(servers, 1, REQUEST)) for _ in range(2)]
@@ -742,7 +772,7 @@
             request.reply()
 
         async with backend(handler) as server_a, backend() as server_b:
-            servers = Servers(1, 1.0, 30.0)
+            servers = make_servers(1)
             for server_id, server in enumerate((server_a, server_b)):
                 host, port = server.address.split(":")
                 servers.add_or_update(server_id, (host, int(port)), True)
@@ -770,7 +800,7 @@
             request.reply("200 OK", b"", *next(headers))
 
         async with backend(handler) as server:
-            servers = Servers(10, 1.0, 30.0)
+            servers = make_servers(10)
             host, port = server.address.split(":")
             servers.add_or_update(1, (host, int(port)), True)
             result = await send_and_wait(servers, 1, REQUEST)
@@ -888,7 +918,7 @@
 
 
 def test_broken_reused_connection_lowers_the_reuse_bound_for_a_while() -> None:
-    servers = Servers(10, 1.0, 30.0)
+    servers = make_servers(10)
     servers.record_broken_connection(0.0)  # a new connection: tells nothing about idle ones
     assert servers._max_idle_s == 15.0
     servers.record_broken_connection(8.0)
