Bound the customers known by the memory account, newcomers going first

Memory grew while a client sent sound requests, each for another customer: up to 5,000 records of 2 KB were allowed whatever the memory limit, more where ceiling buckets were not full, and the observation windows were bounded by age only. The table of customers now takes at most a fifth of the account, invented customers do not displace those that come again, and a newcomer that nobody can make room for is refused.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -16,7 +16,13 @@
 from ironstage.net.clients import CONNECTION_BYTES, Clients, count_client_connections
 from ironstage.net.discovery import Watch, count_discovery_clients
 from ironstage.net.limiter import RESERVED_DESCRIPTOR_COUNT, SERVER_CONNECTION_FRACTION, Limiter
-from ironstage.net.memory import MemoryAccount, account_capacity_bytes, resident_bytes
+from ironstage.net.memory import (
+    CUSTOMER_BYTES,
+    MemoryAccount,
+    account_capacity_bytes,
+    count_customers,
+    resident_bytes,
+)
 
 log = logging.getLogger("ironstage")
 
@@ -52,8 +58,11 @@
         (config.sockets - RESERVED_DESCRIPTOR_COUNT) * (1 - SERVER_CONNECTION_FRACTION)
     )
     max_client_connections = count_client_connections(client_descriptor_count, capacity_bytes)
-    memory = MemoryAccount(capacity_bytes - max_client_connections * CONNECTION_BYTES)
-    limiter = Limiter(config, memory)
+    max_customer_count = count_customers(capacity_bytes)
+    memory = MemoryAccount(
+        capacity_bytes - max_client_connections * CONNECTION_BYTES - max_customer_count * CUSTOMER_BYTES
+    )
+    limiter = Limiter(config, memory, max_customer_count)
     clients = Clients(limiter, config.settings, config.listen, max_client_connections, memory)
     watch = Watch(
         config.discovery,
--- a/ironstage/latency.py
+++ b/ironstage/latency.py
@@ -121,11 +121,11 @@
     they caused.
     """
 
-    def __init__(self, window_ms: float, max_age_ms: float, min_count: int) -> None:
+    def __init__(self, window_ms: float, max_age_ms: float, min_count: int, max_count: int) -> None:
         self._window_ms = window_ms
         self._max_age_ms = max_age_ms
         self._min_count = min_count  # observations kept beyond `window_ms`, up to `max_age_ms`
-        self.observations: deque[LatencyObservation] = deque()
+        self.observations: deque[LatencyObservation] = deque(maxlen=max_count)
 
     def add(self, observation: LatencyObservation) -> None:
         """Append an observation that ended no earlier than those in the window."""
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -19,6 +19,7 @@
 from typing import Protocol
 
 from ironstage import interface as api
+from ironstage.customer_table import MAX_CUSTOMER_COUNT
 from ironstage.interface import CallStatus, ServerState
 from ironstage.net.config import Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
@@ -121,10 +122,12 @@
     in the configuration, 0 without one.
     """
 
-    def __init__(self, config: Config, memory: MemoryAccount) -> None:
+    def __init__(
+        self, config: Config, memory: MemoryAccount, max_customer_count: int = MAX_CUSTOMER_COUNT
+    ) -> None:
         self._settings = config.settings
         self._memory = memory
-        self._gateway = Gateway(config.settings, config.seed)
+        self._gateway = Gateway(config.settings, config.seed, max_customer_count)
         self._clock_start_s = time.monotonic()
         # Computed once: with a new offset for each conversion, a server's start time would appear to change,
         # which counts as a restart.
--- a/ironstage/net/memory.py
+++ b/ironstage/net/memory.py
@@ -14,6 +14,8 @@
 from enum import Enum
 from pathlib import Path
 
+from ironstage.customer_table import MAX_CUSTOMER_COUNT
+
 # Part of the memory left at the start that the account hands out. The rest is for what the allocator loses to
 # fragmentation, for garbage not yet collected, and for the statistics of the decision module.
 ACCOUNT_FRACTION = 0.6
@@ -24,6 +26,8 @@
 
 # Part of what the account hands out that client connections may take, without their requests.
 CLIENT_CONNECTION_FRACTION = 0.35
+CUSTOMER_FRACTION = 0.2  # part that the table of customers may take
+CUSTOMER_BYTES = 2560  # of one customer in the decision module, measured with thousands
 
 
 class Purpose(Enum):
@@ -111,6 +115,11 @@
         return TYPICAL_RESIDENT_BYTES
 
 
+def count_customers(capacity_bytes: int) -> int:
+    """Return how many customers the decision module may know at a time."""
+    return min(MAX_CUSTOMER_COUNT, int(capacity_bytes * CUSTOMER_FRACTION) // CUSTOMER_BYTES)
+
+
 def account_capacity_bytes(limit_bytes: int, resident_at_start_bytes: int) -> int:
     """Return what may be held on behalf of peers, given the limit and what the program needs by itself."""
     return max(MIN_CAPACITY_BYTES, int((limit_bytes - resident_at_start_bytes) * ACCOUNT_FRACTION))
--- a/ironstage/policy.py
+++ b/ironstage/policy.py
@@ -26,10 +26,11 @@
 
 from ironstage import interface as api
 from ironstage import latency
+from ironstage.customer_table import MAX_CUSTOMER_COUNT, CustomerTable
 from ironstage.fleet import Attempt, Fleet, TrackedServer
 from ironstage.interface import CallStatus, DedupScope, RetrySafety
 from ironstage.latency import LOAD_WINDOW_MS
-from ironstage.quota import LIGHT_CUSTOMER_EXPIRY_MS, Customer, MeterClock
+from ironstage.quota import Customer, MeterClock
 from ironstage.threshold_search import optimal_thresholds
 
 # --- Constants: lanes and thresholds --------------------------------------------------------------
@@ -38,6 +39,7 @@
 # thresholds stay as they are.
 MIN_OBSERVATION_COUNT = 10
 MAX_OBSERVATION_AGE_MS = 20000.0  # older observations say nothing about the present load
+MAX_OBSERVATION_COUNT = 4096  # the latest; more would tell no more, and fill the memory in a flood
 # Margin above a threshold, in square roots of the threshold: the small counts of one gateway fluctuate
 # by chance, while their sum over all gateways hardly does.
 CAP_MARGIN_STDDEVS = 1.5
@@ -54,8 +56,6 @@
 
 # --- Constants: customers -------------------------------------------------------------------------
 CUSTOMER_EXPIRY_INTERVAL_MS = 1000.0
-# At some 2 KB each; beyond this count the longest idle are removed as soon as their ceiling bucket is full.
-MAX_CUSTOMER_COUNT = 5000
 
 # --- Constants: lost answers and late client retries ----------------------------------------------
 # Heavy answer loss: more than this fraction of the attempts time out although answers come quickly.
@@ -134,12 +134,14 @@
 class Gateway:
     """The decisions of one gateway: `handle` takes each event and returns the actions that follow from it."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, max_customer_count: int = MAX_CUSTOMER_COUNT
+    ) -> None:
         self.settings = settings
         self.rng = random.Random(seed)
         self.fleet = Fleet(settings, self.rng)
         self.lane_of_class = split_lanes(settings.classes)
-        self.customers: dict[int, Customer] = {}
+        self.customers = CustomerTable(max_customer_count)
         self.meter_clock = MeterClock(settings.metering_ms)
         self.requests: dict[int, Request] = {}
         self.lane_caps: tuple[float, float] = (INF, INF)
@@ -149,12 +151,12 @@
         # Heap of (release time in ms, lane): the slots of attempts that timed out.
         self.timed_out_slots: list[tuple[float, int]] = []
         self.latency_window = latency.ObservationWindow(
-            LOAD_WINDOW_MS, MAX_OBSERVATION_AGE_MS, MIN_OBSERVATION_COUNT
+            LOAD_WINDOW_MS, MAX_OBSERVATION_AGE_MS, MIN_OBSERVATION_COUNT, MAX_OBSERVATION_COUNT
         )
         self.answer_time_distributions = [latency.AnswerTimeDistribution() for _ in settings.classes]
         self.light_load_latency_ms = [INF, INF, INF]  # of lane one, of lane two, of both
         # Requests that the quota admitted: time in ms, lane index, units.
-        self.admitted_arrivals: deque[tuple[float, int, float]] = deque()
+        self.admitted_arrivals: deque[tuple[float, int, float]] = deque(maxlen=MAX_OBSERVATION_COUNT)
         self.mean_occupied_slots, self.mean_slots_updated_ms = [0.0, 0.0], -INF  # by lane
         self.first_arrival_ms = INF
         self.thresholds_updated_ms = -INF
@@ -203,18 +205,9 @@
         return self.actions
 
     def _expire_customers(self, now_ms: float) -> None:
-        """Remove idle customers, the longest idle first, and admission times past the load window."""
+        """Remove idle customers, and admission times past the load window."""
         self.fleet.trim_admitted_times(now_ms)
-        excess_count = len(self.customers) - MAX_CUSTOMER_COUNT
-        expired_ids: list[int] = []
-        for customer_id, customer in self.customers.items():  # in order of their last requests
-            over_limit = len(expired_ids) < excess_count
-            if not over_limit and now_ms - customer.last_request_ms < LIGHT_CUSTOMER_EXPIRY_MS:
-                break
-            if customer.can_expire(now_ms, over_limit):
-                expired_ids.append(customer_id)
-        for customer_id in expired_ids:
-            del self.customers[customer_id]
+        self.customers.expire(now_ms)
 
     def _on_server_list(self, now_ms: float, event: api.ServerList) -> None:
         """Apply a server list; subscribe to changes if it is a cached list or none was delivered."""
@@ -227,12 +220,12 @@
         """Check quota and lane cap and send the first attempt; refuse at once if any of these fails."""
         self.first_arrival_ms = min(self.first_arrival_ms, now_ms)
         request_class = self.settings.classes[event.class_index]
-        customer = self.customers.pop(event.customer_id, None)
+        customer, is_known = self.customers.find(event.customer_id), True
         if customer is None:
             customer = Customer(
                 self.settings.plans[event.plan_index], event.customer_gateway_count, now_ms, self.started_ms
             )
-        self.customers[event.customer_id] = customer  # at the end of the order of last requests
+            is_known = self.customers.add(event.customer_id, customer, now_ms)
         # If a late answer is worth little, work past the aim is wasted and adds to an overload.
         ends_at_aim = (
             request_class.late_worth <= END_AT_AIM_MAX_LATE_WORTH
@@ -246,7 +239,7 @@
             event, request_class, self.lane_of_class[event.class_index], useful_until_ms, customer
         )
         self.requests[event.request_id] = request
-        if (
+        if not is_known or (
             ends_at_aim
             and self._is_late_client_retry(now_ms, event)
             and not customer.has_ample_units(now_ms, event.units)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -51,8 +51,10 @@
     Requests are numbered from 1. Points in time are milliseconds on the gateway's clock.
     """
 
-    def __init__(self, servers: list[api.Server] | None = None, **overrides: Any) -> None:
-        self.gateway = Gateway(replace(BASE_SETTINGS, **overrides), seed=1)
+    def __init__(
+        self, servers: list[api.Server] | None = None, max_customer_count: int = 5000, **overrides: Any
+    ) -> None:
+        self.gateway = Gateway(replace(BASE_SETTINGS, **overrides), 1, max_customer_count)
         self.last_request_id = 0
         if servers is None:
             servers = [make_server(1), make_server(2)]
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -150,3 +150,9 @@
 ) -> None:
     """Guards against a turn of the loop that one connection fills, and against tables that peers fill."""
     check_limiter_under_flood(tmp_path, flood, memory_mb=32)
+
+
+def test_ever_new_customers_do_not_fill_the_memory(tmp_path: Path) -> None:
+    """Guards against a table of customers that is not bounded by the memory limit."""
+    flood = FloodSpecification(repeat=NEW_CUSTOMER, connections=8)
+    check_limiter_under_flood(tmp_path, flood, memory_mb=32, duration_s=10.0)
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -168,7 +168,7 @@
 
     Seen from 17 to 25 s of a load test: a mean of 420 ms while answers took 120 ms.
     """
-    window = latency.ObservationWindow(5000.0, 20000.0, 10)
+    window = latency.ObservationWindow(5000.0, 20000.0, 10, 100)
     for n in range(9):
         window.add(latency.LatencyObservation(100.0 * n, IDEMPOTENT, 700.0, False))
     for n in range(12):
@@ -178,7 +178,7 @@
 
 
 def test_window_keeps_its_minimum_count_up_to_the_maximum_age() -> None:
-    window = latency.ObservationWindow(5000.0, 20000.0, 10)
+    window = latency.ObservationWindow(5000.0, 20000.0, 10, 100)
     for n in range(30):
         window.add(latency.LatencyObservation(float(n), IDEMPOTENT, 100.0, n % 2 == 0))
     window.trim(10000.0)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -11,7 +11,7 @@
 import pytest
 from helpers import GatewayFixture, send_actions
 
-from ironstage import fleet, policy, quota
+from ironstage import fleet, quota
 from ironstage import interface as api
 from ironstage.quota import Customer, MeterClock
 
@@ -150,24 +150,54 @@
     assert len(fixture.gateway.fleet.admitted_times_ms) < 200
 
 
-def test_customer_count_is_bounded_once_ceiling_buckets_are_full(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Above the bound, the longest idle are removed early, but not before their ceiling bucket is full again.
+def test_customer_count_never_exceeds_its_bound() -> None:
+    """Above the bound, customers are removed early, but not before their ceiling bucket is full again.
 
-    A new record would start with more units in that bucket, and the ceiling would be exceeded.
+    A new record would start with more units in that bucket, and the ceiling would be exceeded. So further
+    customers are refused until then.
     """
-    monkeypatch.setattr(policy, "MAX_CUSTOMER_COUNT", 50)
     plan = api.Plan(rate=1000, burst=2000, ceiling_rate=0.5, ceiling_depth=100.0)
-    fixture = GatewayFixture(plans=(plan,))
+    fixture = GatewayFixture(plans=(plan,), max_customer_count=50)
     start_ms = 300_000.0
     for step in range(300):
-        [sent] = send_actions(fixture.submit_request(start_ms + step, customer_id=step))
-        fixture.end_attempt(start_ms + step, sent, "ok")
-    fixture.fire_timer(start_ms + 1050.0)
-    assert len(fixture.gateway.customers) == 300
-    fixture.fire_timer(start_ms + 5000.0)
+        actions = fixture.submit_request(start_ms + step, customer_id=step)
+        if step < 50:
+            fixture.end_attempt(start_ms + step, send_actions(actions)[0], "ok")
+        else:
+            assert [type(action) for action in actions] == [api.Refuse]
+        assert len(fixture.gateway.customers) <= 50
+    for step in range(300):
+        assert (
+            send_actions(fixture.submit_request(start_ms + 5000.0 + step, customer_id=1000 + step))
+            or step >= 50
+        )
+        assert len(fixture.gateway.customers) == 50
+
+
+def test_invented_customers_do_not_displace_those_that_come_again() -> None:
+    """Guards against a flood of customers that come once and make the gateway forget all others."""
+    fixture = GatewayFixture(max_customer_count=50)
+    for step in range(2000):
+        now_ms = step * 1.0
+        for customer_id in (step % 20, 1000 + step):
+            for sent in send_actions(fixture.submit_request(now_ms, customer_id=customer_id)):
+                fixture.end_attempt(now_ms, sent, "ok")
+    assert set(range(20)) <= set(fixture.gateway.customers)
     assert len(fixture.gateway.customers) == 50
 
 
+def test_customers_seen_once_keep_a_part_of_a_table_full_of_others() -> None:
+    """A customer that comes again finds its record, though all others had come more than once before."""
+    fixture = GatewayFixture(max_customer_count=40)
+    for step in range(200):
+        for sent in send_actions(fixture.submit_request(step * 1.0, customer_id=step // 2)):
+            fixture.end_attempt(step * 1.0, sent, "ok")
+    for customer_id in (500, 501):
+        fixture.submit_request(300.0, customer_id=customer_id)
+    assert {500, 501} <= set(fixture.gateway.customers)
+    assert len(fixture.gateway.customers) == 40
+
+
 def test_send_history_is_bounded_by_age_and_covers_the_last_5_s() -> None:
     fixture = GatewayFixture()
     for step in range(5000):
