Bound what discovery makes the process hold, and divide the memory limit by a budget

Found by trying the other faults' forms on discovery: lines of 4 MiB whose parsed form takes 20 times as much, hosts and zones kept for ever, reading without pause. A limiter with 32 MB held up to 279 MB and answered 9 s late.

The watch reads in bounded steps, its lines and their parsed form are reserved in the account, and servers are bounded.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -13,16 +13,10 @@
 import uvloop
 
 from ironstage.net import config as configuration
-from ironstage.net.clients import CONNECTION_BYTES, Clients, count_client_connections
+from ironstage.net.clients import Clients
 from ironstage.net.discovery import Watch, count_discovery_clients
 from ironstage.net.limiter import RESERVED_DESCRIPTOR_COUNT, SERVER_CONNECTION_FRACTION, Limiter
-from ironstage.net.memory import (
-    CUSTOMER_BYTES,
-    MemoryAccount,
-    account_capacity_bytes,
-    count_customers,
-    resident_bytes,
-)
+from ironstage.net.memory import MemoryAccount, MemoryBudget, resident_bytes
 
 log = logging.getLogger("ironstage")
 
@@ -53,21 +47,19 @@
     loop, stop_event = asyncio.get_running_loop(), asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_event.set)
-    capacity_bytes = account_capacity_bytes(config.memory_limit_bytes, resident_bytes())
+    budget = MemoryBudget.divide(config.memory_limit_bytes, resident_bytes())
+    memory = MemoryAccount(budget.account_bytes)
+    limiter = Limiter(config, memory, budget.max_customer_count, budget.max_server_count)
     client_descriptor_count = int(
         (config.sockets - RESERVED_DESCRIPTOR_COUNT) * (1 - SERVER_CONNECTION_FRACTION)
     )
-    max_client_connections = count_client_connections(client_descriptor_count, capacity_bytes)
-    max_customer_count = count_customers(capacity_bytes)
-    memory = MemoryAccount(
-        capacity_bytes - max_client_connections * CONNECTION_BYTES - max_customer_count * CUSTOMER_BYTES
-    )
-    limiter = Limiter(config, memory, max_customer_count)
+    max_client_connections = min(client_descriptor_count, budget.max_client_connection_count)
     clients = Clients(limiter, config.settings, config.listen, max_client_connections, memory)
     watch = Watch(
         config.discovery,
         limiter.apply_host_list,
         random.Random(config.seed),
+        memory,
         count_discovery_clients(config.settings),
     )
     watch.seq = limiter.cached_list_seq
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -15,13 +15,11 @@
 from ironstage.net.client_connection import ClientConnection, ConnectionTable
 from ironstage.net.config import Address
 from ironstage.net.limiter import Limiter
-from ironstage.net.memory import CLIENT_CONNECTION_FRACTION, MemoryAccount
+from ironstage.net.memory import MemoryAccount
 from ironstage.net.request_validation import RequestValidator
 
 log = logging.getLogger(__name__)
 
-# Measured with hundreds of idle connections: the protocol, its parser and the event loop's transport.
-CONNECTION_BYTES = 4608
 ACCEPT_BATCH_SIZE = 64  # connections accepted in a row, before the event loop serves the open ones again
 ACCEPT_RETRY_DELAY_S = 0.05  # while the limit on connections is reached or the descriptors have run out
 # For reading a whole request, from its first byte; for the first request of a connection, from the connect.
@@ -37,12 +35,6 @@
 RESOURCE_EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-def count_client_connections(descriptor_count: int, memory_capacity_bytes: int) -> int:
-    """Return how many client connections may be open, given their descriptors and the memory account."""
-    affordable_count = int(memory_capacity_bytes * CLIENT_CONNECTION_FRACTION) // CONNECTION_BYTES
-    return min(descriptor_count, affordable_count)
-
-
 class Clients:
     """Accepts client connections, bounds their number and memory, and drains them gracefully.
 
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -14,12 +14,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, cast
+from typing import Any
 
 import httptools
 
 from ironstage import interface as api
 from ironstage.net.config import Address, ConfigError, parse_address
+from ironstage.net.memory import Holding, MemoryAccount, Purpose
+from ironstage.net.paced_reader import MESSAGE_WORK, PARSE_PIECE_BYTES, PacedReader
 
 log = logging.getLogger(__name__)
 
@@ -32,7 +34,12 @@
 # With more limiters the backoff grows in proportion: discovery can handle no higher rate of calls.
 UNSCALED_BACKOFF_CLIENT_COUNT = 2
 MAX_BACKOFF_S = 5.0  # however many limiters there are
-MAX_LINE_BYTES = 4 << 20  # an endless line must not exhaust the memory
+MAX_LINE_BYTES = 4 << 20  # and no more than the memory account has room for
+MAX_FRAMING_BYTES = 16 * 1024  # of the head, a chunk extension or the trailer
+MAX_NAME_LENGTH = 256  # of a host or a zone, in characters
+# Upper bounds of the memory that the parsed form of a line takes for each of these, in bytes.
+PARSED_OBJECT_BYTES = 200
+PARSED_ELEMENT_BYTES = 72
 
 STATE_BY_HEALTH = {
     "active": api.ServerState.READY,
@@ -75,13 +82,16 @@
 
 def _parse_host(raw: Any) -> Host:
     state, name = STATE_BY_HEALTH[raw["health"]], raw["host"]
-    if not isinstance(name, str) or not name:
-        raise ValueError(f"host is empty or not a string: {raw!r}")
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise ValueError("host is empty, too long or not a string")
+    zone = str(raw.get("site", ""))
+    if len(zone) > MAX_NAME_LENGTH:
+        raise ValueError("site is too long")
     return Host(
         name=name,
         # A host that left needs no address, as nothing is sent to it any more.
         dial=("", 0) if state is api.ServerState.GONE else parse_address(raw["dial"]),
-        zone=str(raw.get("site", "")),
+        zone=zone,
         cell=int(raw.get("block", 0)),
         state=state,
         relative_capacity=_parse_finite(raw.get("share", 1.0)),
@@ -110,48 +120,78 @@
     return HostList(seq, all_valid and raw.get("whole") is True, tuple(hosts)), all_valid
 
 
-class _WatchStream(asyncio.Protocol):
+def parsed_size_bytes(line: bytes) -> int:
+    """Return an upper bound of the memory that it takes to parse a line of JSON."""
+    text_bytes = len(line) * (2 if line.isascii() else 5)  # the line, and its characters
+    element_count = line.count(b",") + line.count(b"[") + 1
+    return text_bytes + line.count(b"{") * PARSED_OBJECT_BYTES + element_count * PARSED_ELEMENT_BYTES
+
+
+class _WatchStream(PacedReader):
     """The connection of one watch: splits the chunked response into lines.
 
     `on_line` gets each line that is not empty, and returns False to close the watch. `ended` is done once the
     connection is closed.
     """
 
-    def __init__(self, on_line: Callable[[bytes], bool]) -> None:
+    def __init__(self, on_line: Callable[[bytes], bool], memory: MemoryAccount) -> None:
+        super().__init__()
         self._on_line = on_line
+        self._holding = Holding(memory)
+        self._framing_bytes = 0  # received since the start of the response, or since a piece of its body
         self._parser = httptools.HttpResponseParser(self)
         self._buffer = bytearray()  # extended in place, as a line may arrive byte by byte
         self._has_complete_line = False  # the buffer holds the end of a line
-        self._transport: asyncio.Transport | None = None
         self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.last_received_s = asyncio.get_running_loop().time()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # uvloop's transport is not a subclass of asyncio.Transport.
-        self._transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
+    def parse_piece(self, piece: memoryview) -> None:
+        """Parse a piece of the response, and process the lines that it completes."""
         self.last_received_s = asyncio.get_running_loop().time()
+        self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserError as error:
             log.warning("discovery: invalid HTTP response, closing the watch: %r", error)
             self.close()
             return
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            log.warning("discovery: head or trailer too large, closing the watch")
+            self.close()
+            return
+        self._process_lines()
+
+    def _process_lines(self) -> None:
         lines: list[bytes] = []
         # Splitting the buffer at each chunk would take quadratic time for a long list in many chunks.
         if self._has_complete_line:
             *lines, incomplete_line = bytes(self._buffer).split(b"\n")
             self._buffer, self._has_complete_line = bytearray(incomplete_line), False
-        if len(self._buffer) > MAX_LINE_BYTES:
-            log.warning("discovery: line longer than %d bytes, closing the watch", MAX_LINE_BYTES)
-            self.close()
         for line in lines:
-            if line.strip() and not self._on_line(line):
+            if line.strip() and not self._process_line(line):
                 self.close()
                 return
+        if len(self._buffer) > MAX_LINE_BYTES or not self._hold(len(self._buffer)):
+            log.warning("discovery: line longer than %d bytes, closing the watch", len(self._buffer))
+            self.close()
+
+    def _process_line(self, line: bytes) -> bool:
+        """Process a line, if there is memory to parse it; return False if it has to be requested again."""
+        self.count_work(MESSAGE_WORK + len(line) // PARSE_PIECE_BYTES)
+        if not self._hold(parsed_size_bytes(line)):
+            log.warning("discovery: no memory to parse a line of %d bytes, closing the watch", len(line))
+            return False
+        return self._on_line(line)
+
+    def _hold(self, size_bytes: int) -> bool:
+        return self._holding.resize(size_bytes, Purpose.DISCOVERY)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.count_work()
 
     def on_body(self, body: bytes) -> None:
+        self.count_work()
+        self._framing_bytes = 0
         if self._parser.get_status_code() == 200:
             self._buffer += body
             self._has_complete_line = self._has_complete_line or b"\n" in body
@@ -160,6 +200,9 @@
         self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        del self._parser  # breaks a reference cycle that only the garbage collector would free
+        self._buffer = bytearray()
+        self._holding.release()
         if not self.ended.done():
             self.ended.set_result(None)
 
@@ -189,9 +232,11 @@
         address: Address,
         on_list: Callable[[HostList], None],
         rng: random.Random,
+        memory: MemoryAccount,
         discovery_client_count: int = 1,
     ) -> None:
         self._address = address
+        self._memory = memory
         self._on_list = on_list
         self._rng = rng
         scale = max(1.0, discovery_client_count / UNSCALED_BACKOFF_CLIENT_COUNT)
@@ -242,7 +287,7 @@
         self._awaiting_first_list = True
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, stream = await loop.create_connection(
-                lambda: _WatchStream(self._handle_line), host, port
+                lambda: _WatchStream(self._handle_line, self._memory), host, port
             )
         request = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         transport.write(request.encode())
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -45,6 +45,10 @@
 # Measured with hundreds of requests that wait for their servers: the objects of a request and of an attempt,
 # here and in the decision module, with their timers.
 REQUEST_BYTES = 6 * 1024
+MAX_SERVER_COUNT = 4096  # if the caller sets no other bound
+# Servers beyond those of the configuration that may be listed in any case, as a part of these.
+MIN_NEW_SERVER_FRACTION = 0.5
+MAX_ZONE_COUNT = 256  # the zones of discovery beyond count as one
 
 PROBE_REQUEST = ServerRequest(b"GET /metrics/load HTTP/1.1\r\nHost: backend.local\r\n")
 
@@ -123,7 +127,11 @@
     """
 
     def __init__(
-        self, config: Config, memory: MemoryAccount, max_customer_count: int = MAX_CUSTOMER_COUNT
+        self,
+        config: Config,
+        memory: MemoryAccount,
+        max_customer_count: int = MAX_CUSTOMER_COUNT,
+        max_server_count: int = MAX_SERVER_COUNT,
     ) -> None:
         self._settings = config.settings
         self._memory = memory
@@ -138,6 +146,7 @@
             config.server_idle_timeout_s,
             memory,
         )
+        self._max_server_count = max_server_count
         self._server_ids: dict[str, int] = {}  # by host name, without the servers that are gone
         self._server_id_counter = itertools.count()  # ids are never reused: attempts may outlast their server
         self._zone_ids = {zone: zone_id for zone_id, zone in enumerate(config.zones)}
@@ -159,6 +168,10 @@
             log.warning("invalid host list in the configuration, ignoring it: %s", error)
             return
         self.cached_list_seq = host_list.seq
+        known_count = len(host_list.hosts)
+        self._max_server_count = max(
+            self._max_server_count, int(known_count * (1.0 + MIN_NEW_SERVER_FRACTION))
+        )
         self._apply_list(host_list, api.ListKind.CACHED)
 
     # --- Clock -------------------------------------------------------------------------------
@@ -233,19 +246,29 @@
 
     def _apply_list(self, host_list: HostList, kind: api.ListKind) -> None:
         """Pass a host list to the decision module as a server list, and remove the servers that are gone."""
-        servers = tuple(self._register_server(host) for host in host_list.hosts)
-        self._dispatch(api.ServerList(kind, servers))
+        servers = [self._register_server(host) for host in host_list.hosts]
+        self._dispatch(api.ServerList(kind, tuple(server for server in servers if server is not None)))
         gone_names = {host.name for host in host_list.hosts if host.state is ServerState.GONE}
+        gone_names &= self._server_ids.keys()
         if kind is not api.ListKind.DELTA:
             gone_names |= self._server_ids.keys() - {host.name for host in host_list.hosts}
         for name in gone_names:
             self._servers.remove(self._server_ids.pop(name))
 
-    def _register_server(self, host: Host) -> api.Server:
-        """Add or update the server of a host list entry and return it as the decision module sees it."""
+    def _register_server(self, host: Host) -> api.Server | None:
+        """Add or update the server of a host list entry and return it as the decision module sees it.
+
+        Return None if it is new and there is no room for it.
+        """
         if (server_id := self._server_ids.get(host.name)) is None:
+            if len(self._server_ids) >= self._max_server_count:
+                log.warning("no room for another server than the %d listed", len(self._server_ids))
+                return None
             server_id = self._server_ids[host.name] = next(self._server_id_counter)
-        zone_id = self._zone_ids.setdefault(host.zone, len(self._zone_ids))
+        zone_count = min(len(self._zone_ids), MAX_ZONE_COUNT)
+        zone_id = self._zone_ids.get(host.zone, zone_count)
+        if zone_id < MAX_ZONE_COUNT:
+            self._zone_ids[host.zone] = zone_id
         self._servers.add_or_update(server_id, host.dial, host.state is ServerState.READY)
         started_ms = host.born_ms + self._unix_to_clock_offset_ms if host.born_ms > 0 else 0.0
         return api.Server(server_id, zone_id, host.cell, host.state, host.relative_capacity, started_ms)
--- a/ironstage/net/memory.py
+++ b/ironstage/net/memory.py
@@ -1,33 +1,60 @@
 """The memory account: one bound on all that peers can make the process hold.
 
-Whatever is kept on behalf of a peer is reserved first: connections with their objects, heads and bodies that
-are not complete, data that is read ahead, requests until they are finished, responses until they are written,
-and entries under names that peers choose. What does not fit is refused by whoever asked. Client connections
-have a part of their own, so that one can still be accepted, and its request refused, while requests fill the
-rest.
+The budget divides the memory limit: so many client connections, customers and servers, and the account for
+what they send and get. Whatever is kept of that is reserved in the account first: heads and bodies that are
+not complete, data that is read ahead, requests until they are finished, responses until they are written,
+lists of servers. What does not fit is refused by whoever asked.
 """
 
 from __future__ import annotations
 
 import resource
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 
-from ironstage.customer_table import MAX_CUSTOMER_COUNT
-
-# Part of the memory left at the start that the account hands out. The rest is for what the allocator loses to
+# Part of the memory left at the start that is handed out. The rest is for what the allocator loses to
 # fragmentation, for garbage not yet collected, and for the statistics of the decision module.
-ACCOUNT_FRACTION = 0.6
+BUDGET_FRACTION = 0.65
 MIN_CAPACITY_BYTES = 1 << 20  # where the limit is hardly more than the program needs by itself
 TYPICAL_RESIDENT_BYTES = 25 << 20  # of the program at its start, if the system does not tell
 MAX_RELIEF_STEPS = 8  # things given up to make room for one reservation
 
 
-# Part of what the account hands out that client connections may take, without their requests.
-CLIENT_CONNECTION_FRACTION = 0.35
-CUSTOMER_FRACTION = 0.2  # part that the table of customers may take
-CUSTOMER_BYTES = 2560  # of one customer in the decision module, measured with thousands
+# Parts of what is handed out. Client connections have one of their own, so that one can still be accepted,
+# and its request refused, while requests fill the account.
+CLIENT_CONNECTION_FRACTION = 0.34
+CUSTOMER_FRACTION = 0.15
+SERVER_FRACTION = 0.1
+# The objects of one client connection (protocol, parser, transport), of one customer in the decision module
+# and of one server in all tables, each measured with hundreds or thousands of them.
+CLIENT_CONNECTION_BYTES = 4608
+CUSTOMER_BYTES = 2560
+SERVER_BYTES = 1536
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryBudget:
+    """How many peers and names the memory is enough for, and what is left for the account, in bytes."""
+
+    max_client_connection_count: int
+    max_customer_count: int
+    max_server_count: int
+    account_bytes: int
+
+    @classmethod
+    def divide(cls, limit_bytes: int, resident_at_start_bytes: int) -> MemoryBudget:
+        """Divide what the memory limit leaves beside what the program needs by itself."""
+        left_bytes = (limit_bytes - resident_at_start_bytes) * BUDGET_FRACTION
+        total_bytes = max(MIN_CAPACITY_BYTES, int(left_bytes))
+        account_fraction = 1.0 - CLIENT_CONNECTION_FRACTION - CUSTOMER_FRACTION - SERVER_FRACTION
+        return cls(
+            int(total_bytes * CLIENT_CONNECTION_FRACTION) // CLIENT_CONNECTION_BYTES,
+            int(total_bytes * CUSTOMER_FRACTION) // CUSTOMER_BYTES,
+            int(total_bytes * SERVER_FRACTION) // SERVER_BYTES,
+            int(total_bytes * account_fraction),
+        )
 
 
 class Purpose(Enum):
@@ -36,9 +63,10 @@
     What is needed to finish requests that were accepted may use more than what could lead to new ones.
     """
 
-    INCOMPLETE_INPUT = 0.6
-    REQUEST = 0.8
-    RESPONSE = 1.0
+    INCOMPLETE_INPUT = 0.5
+    REQUEST = 0.7
+    RESPONSE = 0.8
+    DISCOVERY = 1.0
 
 
 class MemoryAccount:
@@ -113,13 +141,3 @@
         return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
     except (OSError, ValueError, IndexError):
         return TYPICAL_RESIDENT_BYTES
-
-
-def count_customers(capacity_bytes: int) -> int:
-    """Return how many customers the decision module may know at a time."""
-    return min(MAX_CUSTOMER_COUNT, int(capacity_bytes * CUSTOMER_FRACTION) // CUSTOMER_BYTES)
-
-
-def account_capacity_bytes(limit_bytes: int, resident_at_start_bytes: int) -> int:
-    """Return what may be held on behalf of peers, given the limit and what the program needs by itself."""
-    return max(MIN_CAPACITY_BYTES, int((limit_bytes - resident_at_start_bytes) * ACCOUNT_FRACTION))
