Do not take a new process at an address for the one that was there before

Work went to the wrong place or ran twice when a new process came up at the address of one that had gone: servers were told apart by name only, so both were used while a list named both, and idle connections outlived a new start of the same server.

--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -14,14 +14,14 @@
 import math
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Protocol
 
 from ironstage import interface as api
 from ironstage.customer_table import MAX_CUSTOMER_COUNT
 from ironstage.interface import CallStatus, ServerState
-from ironstage.net.config import Config
+from ironstage.net.config import Address, Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
 from ironstage.net.memory import Holding, MemoryAccount, Purpose
 from ironstage.net.server_connection import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
@@ -123,6 +123,16 @@
     return values if all(0 <= value <= MAX_LOAD_REPORT_VALUE for value in values) else ()
 
 
+def _is_later_process(host: Host, owner: Host) -> bool:
+    """Return whether a host's process came after the one known so far at the same address.
+
+    Without different start times the one told last did, unless it is about to end.
+    """
+    if host.born_ms != owner.born_ms:
+        return host.born_ms > owner.born_ms
+    return host.state is ServerState.READY or owner.state is not ServerState.READY
+
+
 class Limiter:
     """Holds the pending requests, the server ids and the clock; the decision module makes the decisions.
 
@@ -152,6 +162,8 @@
         )
         self._max_server_count = max_server_count
         self._server_ids: dict[str, int] = {}  # by host name, without the servers that are gone
+        self._hosts: dict[str, Host] = {}  # as last listed, without those that are gone
+        self._host_name_by_address: dict[Address, str] = {}
         self._server_id_counter = itertools.count()  # ids are never reused: attempts may outlast their server
         self._zone_ids = {zone: zone_id for zone_id, zone in enumerate(config.zones)}
         self._requests: dict[int, _PendingRequest] = {}
@@ -265,14 +277,45 @@
 
     def _apply_list(self, host_list: HostList, kind: api.ListKind) -> None:
         """Pass a host list to the decision module as a server list, and remove the servers that are gone."""
-        servers = [self._register_server(host) for host in host_list.hosts]
+        hosts = self._mark_replaced_hosts(host_list.hosts)
+        servers = [self._register_server(host) for host in hosts]
         self._dispatch(api.ServerList(kind, tuple(server for server in servers if server is not None)))
-        gone_names = {host.name for host in host_list.hosts if host.state is ServerState.GONE}
+        gone_names = {host.name for host in hosts if host.state is ServerState.GONE}
         gone_names &= self._server_ids.keys()
         if kind is not api.ListKind.DELTA:
-            gone_names |= self._server_ids.keys() - {host.name for host in host_list.hosts}
+            gone_names |= self._server_ids.keys() - {host.name for host in hosts}
         for name in gone_names:
             self._servers.remove(self._server_ids.pop(name))
+            self._forget_host(name)
+
+    def _forget_host(self, name: str) -> None:
+        host = self._hosts.pop(name, None)
+        if host and self._host_name_by_address.get(host.dial) == name:
+            del self._host_name_by_address[host.dial]
+
+    def _mark_replaced_hosts(self, hosts: tuple[Host, ...]) -> list[Host]:
+        """Return the hosts, with those marked as gone at whose address another one has come up.
+
+        A process that has gone may be listed for some time beside the one that follows it at its address.
+        What is sent to that address reaches the latter, whatever is known of the former.
+        """
+        listed = {host.name: host for host in hosts}
+        for name in list(listed):
+            host = listed[name]
+            if host.state is ServerState.GONE:
+                continue
+            self._forget_host(name)
+            owner_name = self._host_name_by_address.get(host.dial, "")
+            owner = listed.get(owner_name) or self._hosts.get(owner_name)
+            if owner and owner.dial == host.dial and owner.state is not ServerState.GONE:
+                replaced = owner if _is_later_process(host, owner) else host
+                listed[replaced.name] = replace(replaced, state=ServerState.GONE)
+                log.info("host %s is gone: another one is at its address", replaced.name)
+                if replaced is host:
+                    continue
+            self._hosts[name] = host
+            self._host_name_by_address[host.dial] = name
+        return list(listed.values())
 
     def _register_server(self, host: Host) -> api.Server | None:
         """Add or update the server of a host list entry and return it as the decision module sees it.
@@ -288,7 +331,7 @@
         zone_id = self._zone_ids.get(host.zone, zone_count)
         if zone_id < MAX_ZONE_COUNT:
             self._zone_ids[host.zone] = zone_id
-        self._servers.add_or_update(server_id, host.dial, host.state is ServerState.READY)
+        self._servers.add_or_update(server_id, host.dial, host.state is ServerState.READY, host.born_ms)
         started_ms = host.born_ms + self._unix_to_clock_offset_ms if host.born_ms > 0 else 0.0
         return api.Server(server_id, zone_id, host.cell, host.state, host.relative_capacity, started_ms)
 
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -39,9 +39,13 @@
 
 @dataclass(slots=True)
 class Server:
-    """A server's address, whether it takes new requests, and its idle connections, latest used last."""
+    """A server's process, whether it takes new requests, and the idle connections to it, latest used last.
+
+    A process is known by its address and its start, in milliseconds of Unix time.
+    """
 
     address: Address
+    born_ms: float = 0.0
     ready: bool = True
     idle_connections: list[ServerConnection] = field(default_factory=list)
 
@@ -72,14 +76,18 @@
         self.memory = memory
         memory.add_relief(self._close_longest_idle_connection)
 
-    def add_or_update(self, server_id: int, address: Address, ready: bool) -> None:
-        """Record a server as discovery reports it; if it moved or isn't ready, close its idle connections."""
-        server = self._servers.setdefault(server_id, Server(address))
-        if not ready or server.address != address:
+    def add_or_update(self, server_id: int, address: Address, ready: bool, born_ms: float = 0.0) -> None:
+        """Record a server as discovery reports it.
+
+        If it moved, started anew or isn't ready, its idle connections are closed: they may still look open
+        though they lead to a process that is gone.
+        """
+        server = self._servers.setdefault(server_id, Server(address, born_ms))
+        if not ready or server.address != address or server.born_ms != born_ms:
             self._close_idle_connections_to(server)
         server.ready = ready
         if ready:
-            server.address = address
+            server.address, server.born_ms = address, born_ms
 
     def remove(self, server_id: int) -> None:
         """Forget a server that is gone; its outstanding attempts finish on their connections."""
@@ -159,7 +167,7 @@
         The latter happens if the connection breaks, or if the wait takes until it has been idle for longer
         than `max_idle_s`.
         """
-        address = server.address
+        process = server.address, server.born_ms
         try:
             await asyncio.sleep(
                 connection.idle_since_s + connection.min_idle_s - monotonic() + TIMER_RESOLUTION_S
@@ -173,17 +181,17 @@
             if not attempt.ended:
                 await self._connect(server, attempt)
         else:
-            self._start_if_still_wanted(server, address, attempt, connection)
+            self._start_if_still_wanted(server, process, attempt, connection)
 
     def _start_if_still_wanted(
-        self, server: Server, address: Address, attempt: Attempt, connection: ServerConnection
+        self, server: Server, process: tuple[Address, float], attempt: Attempt, connection: ServerConnection
     ) -> None:
         """Start an attempt after a wait, unless it has ended by then or its request may no longer be written.
 
         The connection is then kept for the next attempt.
         """
-        if not server.ready or server.address != address:
-            # The server began to drain or moved meanwhile: no new request may go to this address.
+        if not server.ready or (server.address, server.born_ms) != process:
+            # The server drains, moved or started anew meanwhile: no new request may go to this process.
             connection.close_immediately()
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
             return
@@ -205,7 +213,7 @@
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
             return
         self._open_connection_count += 1
-        address, sock = server.address, None
+        address, process, sock = server.address, (server.address, server.born_ms), None
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 loop = asyncio.get_running_loop()
@@ -221,7 +229,7 @@
                 sock.close()
             attempt.end(AttemptResult(CallStatus.CONNECT_FAILED))
             return
-        self._start_if_still_wanted(server, address, attempt, connection)
+        self._start_if_still_wanted(server, process, attempt, connection)
 
     def _is_full(self) -> bool:
         """Return whether another connection would exceed the limit on them or the memory account."""
