--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -96,6 +96,7 @@
             new = host_entry("new", server.address, born_ms=WARM_MS)
             async with running_limiter(new, agent=agent) as fixture:
                 await agent.watch_queries.get()
+                old = {**host_entry("old", server.address), **late_entry}
                 agent.send_line(host_list(2, old, whole=False))
                 await wait_until(lambda: fixture.watch.seq == 2)
                 assert list(fixture.limiter._server_ids) == ["new"]
