--- a/ironstage/net/server_connection.py
+++ b/ironstage/net/server_connection.py
@@ -50,7 +50,7 @@
 # may send some milliseconds late, would be taken for the response to the next request.
 DUPLICATE_RESPONSE_WAIT_S = 0.015
 USAGE_PERCENT_PATTERN = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
-# Once a response has begun to arrive, it is invalid if the rest takes longer than this.
+# A response that has begun to arrive is invalid if nothing more of it comes for so long.
 PARTIAL_RESPONSE_TIMEOUT_S = 0.25
 # The loop counts whole milliseconds: timers are set this much later, so as not to expire early.
 TIMER_RESOLUTION_S = 0.001
@@ -252,11 +252,11 @@
             if not self._holding.resize(held_bytes, Purpose.RESPONSE):
                 self._fail_invalid_response("no memory left for it")
                 return
-        if not self._message_incomplete:
-            self._stop_partial_response_timer()  # an interim response does not tell when the final one begins
-        elif self._attempt and self._partial_response_timer is None:
+        self._stop_partial_response_timer()
+        # An interim response does not tell when the final one begins.
+        if self._attempt and self._message_incomplete:
             self._partial_response_timer = asyncio.get_running_loop().call_later(
-                PARTIAL_RESPONSE_TIMEOUT_S, self._fail_invalid_response, "timed out before it was complete"
+                PARTIAL_RESPONSE_TIMEOUT_S, self._fail_invalid_response, "stopped before it was complete"
             )
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -338,6 +338,34 @@
     run(test())
 
 
+PIECEWISE_RESPONSES = {
+    "with a length": [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", b"w", b"h", b"o", b"l", b"e"],
+    "chunked": [CHUNKED_HEAD, b"2\r\nwh", b"\r\n3\r\no", b"le\r\n", b"0\r\n\r", b"\n"],
+    "without a length": [b"HTTP/1.1 200 OK\r\n\r", b"\n", b"wh", b"o", b"l", b"e"],
+    "a head in pieces": [b"HTTP/1.1 200", b" OK\r\nContent-Le", b"ngth: 5\r", b"\n\r\n", b"who", b"le"],
+}
+
+
+@pytest.mark.parametrize("pieces", PIECEWISE_RESPONSES.values(), ids=PIECEWISE_RESPONSES.keys())
+def test_response_that_keeps_coming_is_forwarded(
+    pieces: list[bytes], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a bound on the time from the first byte of a response to its end."""
+    monkeypatch.setattr(connection_module, "PARTIAL_RESPONSE_TIMEOUT_S", 0.15)
+
+    async def test() -> None:
+        async def handler(request: ReceivedRequest) -> None:
+            for piece in pieces:
+                request.writer.write(piece)
+                await asyncio.sleep(0.05)
+            request.writer.close()
+
+        async with backend(handler) as server:
+            assert await request_once(server) == (200, 1, b"whole")
+
+    run(test())
+
+
 def test_response_of_the_maximum_size_is_accepted() -> None:
     """The size of the head does not count towards the limit on the body, even if they arrive together."""
 
