--- a/ironstage/net/client_connection.py
+++ b/ironstage/net/client_connection.py
@@ -91,6 +91,13 @@
     return bool(poll.poll(0))
 
 
+def has_data(descriptor: int) -> bool:
+    """Return whether data waits to be read from a connection."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return any(events & select.POLLIN and not events & select.POLLHUP for _, events in poll.poll(0))
+
+
 class ConnectionTable:
     """The open client connections, and what they share."""
 
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -12,7 +12,7 @@
 from time import monotonic
 
 from ironstage.interface import Settings
-from ironstage.net.client_connection import ClientConnection, ConnectionTable
+from ironstage.net.client_connection import ClientConnection, ConnectionTable, has_data
 from ironstage.net.config import Address
 from ironstage.net.limiter import Limiter
 from ironstage.net.memory import MemoryAccount
@@ -28,8 +28,11 @@
 MIN_DRAIN_LISTEN_S = 0.45  # new connections arrive for up to 0.4 s after SIGTERM
 LISTEN_QUIET_PERIOD_S = 0.1  # a drain stops listening only this long after the last new connection
 MAX_DRAIN_LISTEN_S = 0.6  # however many connections still arrive
-# A new connection is kept this long for its first request, also at the connection limit and in a drain.
+# A new connection is kept this long for its first request, also in a drain.
 FIRST_REQUEST_GRACE_S = 0.3
+# The same at the connection limit, unless data waits on it: others wait to be accepted, and the time of their
+# requests runs out.
+CROWDED_FIRST_REQUEST_GRACE_S = 0.05
 FINAL_FLUSH_TIMEOUT_S = 0.2  # for writing what is buffered, after all connections were told to close
 
 RESOURCE_EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -139,18 +142,24 @@
     def _evict_connection(self) -> bool:
         """Close the connection that has been idle for longest, or else the one with the slowest request.
 
-        A new connection is spared for `FIRST_REQUEST_GRACE_S`. Return False if there was none to close.
+        A new connection is spared for `CROWDED_FIRST_REQUEST_GRACE_S`, a request that is arriving for
+        `FIRST_REQUEST_GRACE_S`. Return False if there was none to close.
         """
-        cutoff_s = monotonic() - FIRST_REQUEST_GRACE_S
-        connection = next(
-            (c for c in self.connections.idle if c.has_sent_response or c.connected_s < cutoff_s), None
-        )
+        now_s = monotonic()
+        connection = next((c for c in self.connections.idle if self._may_evict(c, now_s)), None)
         if connection is None:
-            return self._time_out_slowest_request(cutoff_s)
+            return self._time_out_slowest_request(now_s - FIRST_REQUEST_GRACE_S)
         del self.connections.idle[connection]
         connection.close()
         return True
 
+    def _may_evict(self, connection: ClientConnection, now_s: float) -> bool:
+        """Return whether an idle connection may be closed in favour of a new one."""
+        if connection.has_sent_response:
+            return True
+        is_late = connection.connected_s < now_s - CROWDED_FIRST_REQUEST_GRACE_S
+        return is_late and not has_data(connection.descriptor)
+
     def _time_out_slowest_request(self, cutoff_s: float) -> bool:
         """End the request that has been arriving for longest, if it started before `cutoff_s`.
 
