End the import circle of the servers and their connections

servers.py and server_connection.py imported each other. An attempt is a module of its own now, a connection knows its pool by a protocol, and the record of a server stands beside the connections that it lists. No behaviour changes.

--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -21,10 +21,10 @@
 from ironstage import interface as api
 from ironstage.customer_table import MAX_CUSTOMER_COUNT
 from ironstage.interface import CallStatus, ServerState
+from ironstage.net.attempt import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
 from ironstage.net.config import Address, Config
 from ironstage.net.discovery import Host, HostList, parse_host_list
 from ironstage.net.memory import Holding, MemoryAccount, Purpose
-from ironstage.net.server_connection import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
 from ironstage.net.servers import Servers
 from ironstage.policy import Gateway
 
--- a/ironstage/net/server_connection.py
+++ b/ironstage/net/server_connection.py
@@ -1,4 +1,4 @@
-"""One connection to a server: HTTP/1.1 attempts, one at a time, and how they end.
+"""One connection to a server: HTTP/1.1 attempts, one at a time, and how they end; and the server's record.
 
 Nothing is retried here; `ironstage.policy` decides on retries.
 
@@ -10,23 +10,20 @@
 import asyncio
 import contextlib
 import logging
-import math
 import re
 import socket
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import httptools
 
 from ironstage.interface import CallStatus
-from ironstage.net.memory import Holding, Purpose
+from ironstage.net.attempt import Attempt, AttemptResult
+from ironstage.net.config import Address
+from ironstage.net.memory import Holding, MemoryAccount, Purpose
 from ironstage.net.paced_reader import MESSAGE_WORK, PacedReader, write_parts
 
-if TYPE_CHECKING:
-    from ironstage.net.servers import Server, Servers
-
 log = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024
@@ -52,111 +49,51 @@
 USAGE_PERCENT_PATTERN = re.compile(rb"[0-9]{1,5}(\.[0-9]{1,6})?")
 # A response that has begun to arrive is invalid if nothing more of it comes for so long.
 PARTIAL_RESPONSE_TIMEOUT_S = 0.25
-# The loop counts whole milliseconds: timers are set this much later, so as not to expire early.
-TIMER_RESOLUTION_S = 0.001
-
 
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """The result of an attempt.
 
-    `body` and `content_type` are those of the response. `usage_percent` is the customer's metered use in
-    percent of its rate, or None without a valid reading; `load_report` is the raw load report, if any.
-    """
+def _parse_usage_percent(raw: bytes) -> int | None:
+    """Return the metered use in percent, or None if the value is not a number in the meter's range."""
+    return round(float(raw)) if USAGE_PERCENT_PATTERN.fullmatch(raw) else None
 
-    status: CallStatus
-    body: bytes = b""
-    content_type: bytes = b""
-    usage_percent: int | None = None
-    load_report: bytes = b""
 
+class ConnectionPool(Protocol):
+    """What a connection needs of the pool that it belongs to."""
 
-@dataclass(frozen=True, slots=True)
-class ServerRequest:
-    """An HTTP request to a server.
+    @property
+    def memory(self) -> MemoryAccount:
+        """The account in which connections reserve what they hold."""
 
-    `head` is the request line and the headers but Req-Deadline, without the empty line at the end. The server
-    must not run an `at_most_once` request again after a broken attempt. A request that has not been written
-    whole by `write_by_s` is given up.
-    """
+    def add_idle_connection(self, server: Server, connection: ServerConnection) -> None:
+        """Keep a connection for reuse, unless its server takes no new requests."""
 
-    head: bytes
-    body: bytes = b""
-    at_most_once: bool = False
-    write_by_s: float = math.inf
+    def handle_connection_closed(self, server: Server, connection: ServerConnection) -> None:
+        """Forget a connection that was closed."""
 
-    def message(self, timeout_s: float) -> list[bytes]:
-        """Return the parts to write; the Req-Deadline among them tells how long the answer is waited for."""
-        return [b"%bReq-Deadline: %.3f\r\n\r\n" % (self.head, max(0.0, timeout_s)), self.body]
+    def record_broken_connection(self, prior_idle_s: float) -> None:
+        """Take note that a connection broke without any response that had been idle before."""
 
 
-class Attempt:
-    """One transmission of an HTTP request to a server; it times out at `deadline_s`.
+@dataclass(slots=True)
+class Server:
+    """A server's process, whether it takes new requests, and the idle connections to it, latest used last.
 
-    If the request has not been written whole by its `write_by_s`, the attempt ends with NOT_SENT. `on_end` is
-    called once, with the result.
+    A process is known by its address and its start, in milliseconds of Unix time.
     """
 
-    __slots__ = ("_on_end", "_timers", "connection", "deadline_s", "ended", "request")
-
-    def __init__(
-        self, request: ServerRequest, deadline_s: float, on_end: Callable[[AttemptResult], None]
-    ) -> None:
-        self.request = request
-        self.deadline_s = deadline_s
-        self.connection: ServerConnection | None = None
-        self.ended = False
-        self._on_end = on_end
-        loop = asyncio.get_running_loop()
-        self._timers = [loop.call_at(deadline_s + TIMER_RESOLUTION_S, self._handle_timeout)]
-        if request.write_by_s < deadline_s:
-            self._timers.append(
-                loop.call_at(request.write_by_s + TIMER_RESOLUTION_S, self._handle_write_timeout)
-            )
-
-    def end(self, result: AttemptResult) -> None:
-        """End the attempt and report its result; calls after the first do nothing."""
-        if not self.ended:
-            self.ended = True
-            for timer in self._timers:
-                timer.cancel()
-            self.connection = None
-            self._on_end(result)
-
-    def cancel(self) -> None:
-        """End the attempt with CANCELLED and close its connection."""
-        self._abort(CallStatus.CANCELLED)
-
-    def _is_written(self) -> bool:
-        """Return whether the whole request has been written: a server runs it only with its last byte."""
-        return self.connection is not None and self.connection.request_written
-
-    def _handle_timeout(self) -> None:
-        self._abort(CallStatus.TIMEOUT if self._is_written() else CallStatus.CONNECT_FAILED)
-
-    def _handle_write_timeout(self) -> None:
-        if not self._is_written():
-            self._abort(CallStatus.NOT_SENT)
-
-    def _abort(self, status: CallStatus) -> None:
-        if self.connection:
-            self.connection.close_immediately()
-        self.end(AttemptResult(status))
-
-
-def _parse_usage_percent(raw: bytes) -> int | None:
-    """Return the metered use in percent, or None if the value is not a number in the meter's range."""
-    return round(float(raw)) if USAGE_PERCENT_PATTERN.fullmatch(raw) else None
+    address: Address
+    born_ms: float = 0.0
+    ready: bool = True
+    idle_connections: list[ServerConnection] = field(default_factory=list)
 
 
 class ServerConnection(PacedReader):
     """A connection to a server: carries at most one attempt at a time and parses its response."""
 
-    def __init__(self, servers: Servers, server: Server, sock: socket.socket) -> None:
+    def __init__(self, pool: ConnectionPool, server: Server, sock: socket.socket) -> None:
         super().__init__()
-        self._servers = servers
+        self._pool = pool
         self._server = server
-        self._holding = Holding(servers.memory)
+        self._holding = Holding(pool.memory)
         self._holding.take_over(CONNECTION_BYTES)
         self._sock = sock
         self._parser = httptools.HttpResponseParser(self)
@@ -322,7 +259,7 @@
             self._keep_alive = False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._servers.handle_connection_closed(self._server, self)
+        self._pool.handle_connection_closed(self._server, self)
         del self._parser  # breaks a reference cycle that only the garbage collector would free
         self._holding.release()
         self._handle_connection_loss()
@@ -343,7 +280,7 @@
     def _handle_connection_loss(self) -> None:
         """End the current attempt, if any, after the connection was lost."""
         if self._attempt and self._nothing_received:
-            self._servers.record_broken_connection(self.prior_idle_s)
+            self._pool.record_broken_connection(self.prior_idle_s)
         self._fail_attempt(CallStatus.RESET)
 
     def _fail_invalid_response(self, reason: str) -> None:
@@ -400,7 +337,7 @@
         self._holding.take_over(CONNECTION_BYTES)
         self.idle_since_s, self.min_idle_s = monotonic(), DUPLICATE_RESPONSE_WAIT_S
         if self._keep_alive and self.request_written:
-            self._servers.add_idle_connection(self._server, self)
+            self._pool.add_idle_connection(self._server, self)
         else:
             self.close_immediately()
         attempt.end(result)
--- a/ironstage/net/servers.py
+++ b/ironstage/net/servers.py
@@ -10,20 +10,13 @@
 import logging
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from time import monotonic
 
 from ironstage.interface import CallStatus
+from ironstage.net.attempt import TIMER_RESOLUTION_S, Attempt, AttemptResult, ServerRequest
 from ironstage.net.config import Address
 from ironstage.net.memory import MemoryAccount, Purpose
-from ironstage.net.server_connection import (
-    CONNECTION_BYTES,
-    TIMER_RESOLUTION_S,
-    Attempt,
-    AttemptResult,
-    ServerConnection,
-    ServerRequest,
-)
+from ironstage.net.server_connection import CONNECTION_BYTES, Server, ServerConnection
 
 log = logging.getLogger(__name__)
 
@@ -37,19 +30,6 @@
 MAX_IDLE_GROWTH_FACTOR = 1.003
 
 
-@dataclass(slots=True)
-class Server:
-    """A server's process, whether it takes new requests, and the idle connections to it, latest used last.
-
-    A process is known by its address and its start, in milliseconds of Unix time.
-    """
-
-    address: Address
-    born_ms: float = 0.0
-    ready: bool = True
-    idle_connections: list[ServerConnection] = field(default_factory=list)
-
-
 class Servers:
     """The servers by id, and a pool of connections to them.
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -34,8 +34,8 @@
 from ironstage.interface import CallStatus
 from ironstage.net import server_connection as connection_module
 from ironstage.net import servers as servers_module
+from ironstage.net.attempt import AttemptResult, ServerRequest
 from ironstage.net.memory import MemoryAccount
-from ironstage.net.server_connection import AttemptResult, ServerRequest
 from ironstage.net.servers import Servers
 
 DECLINED_HEADER = "Srv-Declined: 1"
