Look for closes only while a connection is unread

The check of every 25 ms ran in each limiter all the time; it runs now only while some connection is not read.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -21,8 +21,6 @@
 log = logging.getLogger("ironstage")
 
 STALE_CONNECTION_CHECK_INTERVAL_S = 0.25
-# No attempt may begin later than 0.1 s after its client has closed its connection.
-CLOSED_CONNECTION_CHECK_INTERVAL_S = 0.025
 
 
 async def _close_stale_connections(limiter: Limiter, clients: Clients) -> None:
@@ -33,13 +31,6 @@
         clients.close_stalled_connections()
 
 
-async def _end_closed_connections(clients: Clients) -> None:
-    """End client connections that were closed while unread, at regular intervals."""
-    while True:
-        await asyncio.sleep(CLOSED_CONNECTION_CHECK_INTERVAL_S)
-        clients.end_closed_connections()
-
-
 def _handle_reload_signal(watch: Watch) -> None:
     """Switch to the discovery address in the replaced configuration file; ignore an invalid file."""
     try:
@@ -76,7 +67,6 @@
     tasks = [
         loop.create_task(watch.run()),
         loop.create_task(_close_stale_connections(limiter, clients)),
-        loop.create_task(_end_closed_connections(clients)),
     ]
     clients.listen()
     log.info("%s is listening on %s:%d", config.name, *clients.address)
--- a/ironstage/net/client_connection.py
+++ b/ironstage/net/client_connection.py
@@ -25,6 +25,7 @@
 MAX_FIELD_COUNT = 100  # header and trailer fields of a request
 MAX_PIPELINED_REQUESTS = 4  # unanswered on a connection; further ones wait to be parsed
 MAX_READ_AHEAD_BYTES = 256 * 1024  # of such requests; more wait in the kernel
+CLOSE_CHECK_INTERVAL_S = 0.025  # no attempt may begin later than 0.1 s after its client's close
 RECEIVING_BYTES = 2 * 1024  # for the objects of a request that is being received, beside its bytes
 LINGER_TIMEOUT_S = 1.0  # how long a client may go on sending a rejected request; then it is disconnected
 
@@ -112,6 +113,7 @@
         self.unread: dict[ClientConnection, None] = {}
         # Connections in the middle of receiving a request, the one whose request started first in front.
         self.receiving: dict[ClientConnection, None] = {}
+        self._close_check_timer: asyncio.TimerHandle | None = None  # runs while a connection is unread
         self.memory = memory
 
     @property
@@ -126,10 +128,27 @@
         self.receiving.pop(connection, None)
         self.unread.pop(connection, None)
 
-    def end_closed_connections(self) -> None:
+    def set_unread(self, connection: ClientConnection, is_unread: bool) -> None:
+        """Record whether a connection is read; one that is not is looked at regularly."""
+        if not is_unread:
+            self.unread.pop(connection, None)
+            return
+        self.unread[connection] = None
+        if self._close_check_timer is None:
+            self._schedule_close_check()
+
+    def _schedule_close_check(self) -> None:
+        self._close_check_timer = asyncio.get_running_loop().call_later(
+            CLOSE_CHECK_INTERVAL_S, self._end_closed_connections
+        )
+
+    def _end_closed_connections(self) -> None:
         """End the unread connections that their clients have closed or reset."""
+        self._close_check_timer = None
         for connection in [connection for connection in self.unread if has_closed(connection.descriptor)]:
             connection.handle_client_close()
+        if self.unread:
+            self._schedule_close_check()
 
 
 class ClientConnection(PacedReader):
@@ -202,10 +221,7 @@
                 self._table.limiter.abandon(request.request_id)
 
     def reading_changed(self, is_paused: bool) -> None:
-        if is_paused:
-            self._table.unread[self] = None
-        else:
-            self._table.unread.pop(self, None)
+        self._table.set_unread(self, is_paused)
 
     def pause_writing(self) -> None:
         self._writing_paused = True
--- a/ironstage/net/clients.py
+++ b/ironstage/net/clients.py
@@ -172,11 +172,6 @@
         connection.close_without_linger()
         return True
 
-    def end_closed_connections(self) -> None:
-        """End the connections that clients have closed while nothing was read from them."""
-        if self.connections.unread:
-            self.connections.end_closed_connections()
-
     def close_stalled_connections(self) -> None:
         """End requests that never arrive in full, and connections on which nothing ever arrives or is read.
 
