Accept lists of the expected size from discovery however full the memory account is

A watch that has to begin with a whole list could be closed again and again where the list does not fit beside requests and connections under a small limit, and its limiter would learn of no change. Lists that take no more to parse than 1.5 times the one in the configuration, which was parsed at the start, are now accepted in any case; a longer one still needs room. test_list_is_accepted_without_memory_only_if_it_is_of_the_expected_size covers both. The tests with hostile peers now also fail if the limiter logs a traceback.

--- a/ironstage/__main__.py
+++ b/ironstage/__main__.py
@@ -14,7 +14,7 @@
 
 from ironstage.net import config as configuration
 from ironstage.net.clients import Clients
-from ironstage.net.discovery import Watch, count_discovery_clients
+from ironstage.net.discovery import Watch, count_discovery_clients, expected_list_bytes
 from ironstage.net.limiter import RESERVED_DESCRIPTOR_COUNT, SERVER_CONNECTION_FRACTION, Limiter
 from ironstage.net.memory import MemoryAccount, MemoryBudget, resident_bytes
 
@@ -61,6 +61,7 @@
         random.Random(config.seed),
         memory,
         count_discovery_clients(config.settings),
+        expected_list_bytes(config.known),
     )
     watch.seq = limiter.cached_list_seq
     loop.add_signal_handler(signal.SIGHUP, _handle_reload_signal, watch)
--- a/ironstage/net/discovery.py
+++ b/ironstage/net/discovery.py
@@ -40,6 +40,8 @@
 # Upper bounds of the memory that the parsed form of a line takes for each of these, in bytes.
 PARSED_OBJECT_BYTES = 200
 PARSED_ELEMENT_BYTES = 72
+# A list so much longer than the known one is accepted even when memory is short: the fleet may have grown.
+EXPECTED_LIST_GROWTH_FACTOR = 1.5
 
 STATE_BY_HEALTH = {
     "active": api.ServerState.READY,
@@ -127,16 +129,24 @@
     return text_bytes + line.count(b"{") * PARSED_OBJECT_BYTES + element_count * PARSED_ELEMENT_BYTES
 
 
+def expected_list_bytes(known: Any) -> int:
+    """Return the memory for parsing a whole list somewhat longer than the one in the configuration."""
+    return int(EXPECTED_LIST_GROWTH_FACTOR * parsed_size_bytes(json.dumps(known, indent=1).encode()))
+
+
 class _WatchStream(PacedReader):
     """The connection of one watch: splits the chunked response into lines.
 
     `on_line` gets each line that is not empty, and returns False to close the watch. `ended` is done once the
-    connection is closed.
+    connection is closed. A line that takes up to `expected_line_bytes` is read and parsed in any case.
     """
 
-    def __init__(self, on_line: Callable[[bytes], bool], memory: MemoryAccount) -> None:
+    def __init__(
+        self, on_line: Callable[[bytes], bool], memory: MemoryAccount, expected_line_bytes: int = 0
+    ) -> None:
         super().__init__()
         self._on_line = on_line
+        self._expected_line_bytes = expected_line_bytes
         self._holding = Holding(memory)
         self._framing_bytes = 0  # received since the start of the response, or since a piece of its body
         self._parser = httptools.HttpResponseParser(self)
@@ -184,7 +194,10 @@
         return self._on_line(line)
 
     def _hold(self, size_bytes: int) -> bool:
-        return self._holding.resize(size_bytes, Purpose.DISCOVERY)
+        if size_bytes > self._expected_line_bytes:
+            return self._holding.resize(size_bytes, Purpose.DISCOVERY)
+        self._holding.take_over(size_bytes)
+        return True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.count_work()
@@ -224,7 +237,8 @@
 class Watch:
     """Keeps a watch open and passes each host list with something new to `on_list`.
 
-    `seq` is the version of the latest list that was processed and had no invalid entry.
+    `seq` is the version of the latest list that was processed and had no invalid entry. Lists that take up to
+    `expected_list_bytes` to parse are accepted however little memory is left.
     """
 
     def __init__(
@@ -234,8 +248,10 @@
         rng: random.Random,
         memory: MemoryAccount,
         discovery_client_count: int = 1,
+        expected_list_bytes: int = 0,
     ) -> None:
         self._address = address
+        self._expected_list_bytes = expected_list_bytes
         self._memory = memory
         self._on_list = on_list
         self._rng = rng
@@ -287,7 +303,7 @@
         self._awaiting_first_list = True
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             transport, stream = await loop.create_connection(
-                lambda: _WatchStream(self._handle_line, self._memory), host, port
+                lambda: _WatchStream(self._handle_line, self._memory, self._expected_list_bytes), host, port
             )
         request = f"GET /discovery/hosts?follow=1&since={self.seq} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
         transport.write(request.encode())
--- a/ironstage/net/memory.py
+++ b/ironstage/net/memory.py
@@ -31,7 +31,7 @@
 # and of one server in all tables, each measured with hundreds or thousands of them.
 CLIENT_CONNECTION_BYTES = 4608
 CUSTOMER_BYTES = 2560
-SERVER_BYTES = 1536
+SERVER_BYTES = 2048
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limiter_process.py
+++ b/tests/limiter_process.py
@@ -36,6 +36,10 @@
         """Open a client connection to the limiter."""
         return Client(*await asyncio.open_connection(self.host, self.port))
 
+    def log_text(self) -> str:
+        """Return what the process has logged so far."""
+        return (self.config_path.parent / "log").read_text()
+
     def resident_mb(self) -> float:
         """Return the memory that the process holds, in MB, as the kernel tells it."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
@@ -105,9 +109,11 @@
     peak_mb: float = 0.0
     max_wait_s: float = 0.0
     statuses: Counter[int] = field(default_factory=Counter)
+    has_failed: bool = False  # the log holds a traceback
 
     def check(self, memory_mb: float) -> None:
         """Check that the limiter kept to its memory limit and answered each sound request in time."""
+        assert not self.has_failed
         assert self.peak_mb <= memory_mb
         assert self.max_wait_s <= CLIENT_TIMEOUT_S + LOST_AFTER_S + TIME_LIMIT_SLACK_S
         assert self.statuses.keys() <= {200, 429, 503}
@@ -141,4 +147,5 @@
         observation.peak_mb = max(observation.peak_mb, limiter.resident_mb())
         await asyncio.sleep(0.01)
     await asyncio.gather(*asks)
+    observation.has_failed = "Traceback" in limiter.log_text()
     return observation
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -123,6 +123,26 @@
     assert peak_bytes < 5 * discovery.MAX_LINE_BYTES
 
 
+@pytest.mark.parametrize("list_is_expected", [True, False])
+def test_list_is_accepted_without_memory_only_if_it_is_of_the_expected_size(list_is_expected: bool) -> None:
+    """Guards against a watch that never gets a whole list, as it does not fit beside everything else."""
+
+    async def test() -> None:
+        lines: list[bytes] = []
+        known = host_list(1, *host_entries(FLEET_SIZE))
+        expected_bytes = discovery.expected_list_bytes(known if list_is_expected else None)
+        stream = discovery._WatchStream(
+            lambda line: lines.append(line) is None, MemoryAccount(1000), expected_bytes
+        )
+        stream.connection_made(OpenTransport())
+        await receive(stream, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        line = json.dumps(host_list(2, *host_entries(FLEET_SIZE * 5 // 4))).encode() + b"\n"
+        await receive(stream, b"%x\r\n%b\r\n" % (len(line), line))
+        assert bool(lines) == list_is_expected
+
+    run(test())
+
+
 @pytest.mark.parametrize("whole", [True, False])
 def test_watch_adds_and_removes_a_thousand_servers(whole: bool) -> None:
     """Adds the servers by one full list or by one change each, then replaces them by a single server.
