--- a/ironstage/net/client_connection.py
+++ b/ironstage/net/client_connection.py
@@ -445,7 +445,8 @@
         self._holding.take_over(self._held_bytes())  # the limiter reserves what it holds from here on
         request = HttpRequest(self, keep_alive, b"".join([*head, b"\r\n"]), body)
         self._unanswered_requests.append(request)
-        request.request_id = self._table.limiter.submit(request, metadata)
+        waited_s = monotonic() - self.arrived_s if self.arrived_s is not None else 0.0
+        request.request_id = self._table.limiter.submit(request, metadata, waited_s)
 
     def _respond(self, keep_alive: bool, status_code: int, text: str = "") -> None:
         """Answer a request without submitting it to the limiter."""
--- a/ironstage/net/limiter.py
+++ b/ironstage/net/limiter.py
@@ -205,8 +205,11 @@
         """Whether any server is ready."""
         return self._servers.any_ready()
 
-    def submit(self, client_request: ClientRequest, metadata: RequestMetadata) -> int:
-        """Accept a request, which gets exactly one response by its client's deadline; return its id."""
+    def submit(self, client_request: ClientRequest, metadata: RequestMetadata, waited_s: float = 0.0) -> int:
+        """Accept a request, which gets exactly one response by its client's deadline; return its id.
+
+        The request arrived `waited_s` ago. If its client has given it up meanwhile, it is refused at once.
+        """
         self._last_request_id += 1
         holding = Holding(self._memory)
         held_bytes = REQUEST_BYTES + len(client_request.forwarded_head) + len(client_request.body)
@@ -222,7 +225,11 @@
             return self._last_request_id
         request_id, now_ms = self._last_request_id, self._now_ms()
         request_class = self._settings.classes[metadata.class_index]
-        timeout_s = min(metadata.client_timeout_s, request_class.max_client_timeout_ms / 1000)
+        timeout_s = min(metadata.client_timeout_s, request_class.max_client_timeout_ms / 1000) - waited_s
+        if timeout_s <= 0.0:
+            holding.release()
+            client_request.answer(503)
+            return self._last_request_id
         deadline_ms = now_ms + max(timeout_s - RESPONSE_MARGIN_S, timeout_s / 2) * 1000
         deadline_timer = asyncio.get_running_loop().call_at(
             self._to_loop_time(now_ms) + timeout_s, partial(self._handle_deadline, request_id)
--- a/ironstage/net/paced_reader.py
+++ b/ironstage/net/paced_reader.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from time import monotonic
 from typing import cast
 
 READ_BYTES = 4 * 1024  # read at a time, beside what is missing of a body of known length
@@ -44,11 +46,14 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._unparsed = bytearray()  # received, but not parsed yet
+        # Sizes of the first parts of it, each with the time at which the last of that part arrived.
+        self._unparsed_arrivals: deque[tuple[int, float]] = deque()
         self._buffer_bytes = 0  # of the buffer for the next read
         self._work_done = 0  # in this turn
         self._turn_scheduled = False
         self._turn_is_over = False  # nothing more is read in this turn
         self._reading_paused = False
+        self.arrived_s: float | None = None  # arrival of the piece that is being parsed; None for just now
         self._more_received = False  # more data than the piece that is being parsed has been received
 
     # --- For subclasses ------------------------------------------------------------------------
@@ -100,12 +105,14 @@
             self._turn_is_over = self._work_done >= MAX_WORK_PER_TURN
             self._schedule_turn()
         data = _read_buffer[:nbytes]
-        if self.may_parse():
-            self._parse(data)
-        else:
+        if self._unparsed or not self.may_parse():
             self._unparsed += data
             self.finish_turn()
-            self.update_reading()
+            self.resume_parsing()
+        else:
+            self._parse(data)
+        if self._unparsed:
+            self._unparsed_arrivals.append((len(self._unparsed), monotonic()))
 
     # --- Turns ---------------------------------------------------------------------------------
     def _parse(self, data: memoryview) -> None:
@@ -123,10 +130,23 @@
                 return data[:0]
             end = position + max(PARSE_PIECE_BYTES, self.bulk_bytes())
             self._more_received = end < len(data)
+            self._note_arrival(min(end, len(data)))
             self.parse_piece(data[position:end])
             position = end
+        if self._unparsed_arrivals:
+            self._unparsed_arrivals = deque(
+                (size - position, arrived_s) for size, arrived_s in self._unparsed_arrivals if size > position
+            )
         return data[position:]
 
+    def _note_arrival(self, end: int) -> None:
+        """Set `arrived_s` for the data up to `end`."""
+        self.arrived_s = None
+        for size, arrived_s in self._unparsed_arrivals:
+            if size >= end:
+                self.arrived_s = arrived_s
+                return
+
     def _schedule_turn(self) -> None:
         if not self._turn_scheduled:
             self._turn_scheduled = True
@@ -136,8 +156,12 @@
         """Go on with the data left over from the last turn."""
         self._turn_scheduled = self._turn_is_over = False
         self._work_done = 0
-        if self._is_open():
+        if not self._is_open():
+            return
+        if self._unparsed and self.may_parse():
             self._parse(memoryview(self._unparsed))
+        else:
+            self.update_reading()
 
     def resume_parsing(self) -> None:
         """Go on in the next turn, after `may_parse` has become true."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -648,3 +648,32 @@
             await wait_until(lambda: fixture.memory.used_bytes == 0)
 
     run(test())
+
+
+def test_time_spent_waiting_behind_other_requests_counts_towards_the_deadline() -> None:
+    """Guards against requests that wait unread and are taken to have come when they are read.
+
+    Each of twelve requests that are sent at once gets its answer in the time that it states.
+    """
+    deadline_s, work_s = 0.6, 0.25
+
+    async def answer_after_work(request: ReceivedRequest) -> None:
+        await asyncio.sleep(work_s)
+        await echo_request_id(request)
+
+    async def test() -> None:
+        async with (
+            backend(answer_after_work) as server,
+            running_limiter(host_entry("a", server.address)) as fixture,
+        ):
+            client = await fixture.connect()
+            start_s = asyncio.get_running_loop().time()
+            client.send(
+                b"".join(build_request(request_id=f"id-{n}", Req_Deadline=str(deadline_s)) for n in range(12))
+            )
+            statuses = [(await client.read_response()).status_code for _ in range(12)]
+            assert asyncio.get_running_loop().time() - start_s < deadline_s + 0.05
+            assert statuses[:8] == [200] * 8
+            assert all(status_code in (429, 502, 503, 504) for status_code in statuses[8:])
+
+    run(test())
